--- /dev/null
+++ b/crates/benchlink/src/desk.rs
@@ -0,0 +1,269 @@
+//! One instance: its router, and the small indices that stand for the wire's names at its door.
+
+use crate::fields::{Object, Read, flag, list, object, text, text_or, whole, whole_or};
+use crate::house::{self, House};
+use chalkwalk_policy::{Cache, Carrier, Ending, Entry, Lkp, Router, Standing, Tenths};
+use serde_json::{Value, json};
+use std::collections::HashMap;
+
+pub const NS_PER_TENTH: u64 = 100_000;
+
+/// Names met so far, in order of appearance.
+#[derive(Default)]
+struct Door {
+    index: HashMap<String, usize>,
+    names: Vec<String>,
+}
+
+impl Door {
+    fn index_of(&mut self, name: &str) -> usize {
+        if let Some(i) = self.index.get(name) {
+            return *i;
+        }
+        self.names.push(name.to_string());
+        self.index.insert(name.to_string(), self.names.len() - 1);
+        self.names.len() - 1
+    }
+}
+
+pub struct Desk {
+    house: House,
+    router: Router,
+    caches: Door,
+    zones: Door,
+    lookups: HashMap<u64, Lkp>,
+    requests: HashMap<Lkp, u64>,
+}
+
+/// Writes what the router wants done as actions of the wire.
+struct Pen<'a> {
+    caches: &'a Door,
+    requests: &'a HashMap<Lkp, u64>,
+    actions: &'a mut Vec<Value>,
+}
+
+impl Carrier for Pen<'_> {
+    fn shoot(&mut self, lkp: Lkp, cache: Cache, until: Tenths) {
+        let (req, node) = (self.requests[&lkp], &self.caches.names[cache]);
+        self.actions
+            .push(json!({"kind": "ROUTE", "req": req, "node": node, "notPastNs": until * NS_PER_TENTH}));
+    }
+    fn withdraw(&mut self, lkp: Lkp, shot: usize) {
+        self.actions.push(json!({"kind": "ABORT_ATTEMPT", "req": self.requests[&lkp], "trial": shot}));
+    }
+    fn defer(&mut self, lkp: Lkp, back_in: Tenths) {
+        let (req, wait) = (self.requests[&lkp], back_in * NS_PER_TENTH);
+        self.actions.push(json!({"kind": "OVERLOAD_REPLY", "req": req, "retryInNs": wait}));
+    }
+    fn abandon(&mut self, lkp: Lkp) {
+        self.actions.push(json!({"kind": "RESPOND_ERROR", "req": self.requests[&lkp]}));
+    }
+    fn probe(&mut self, cache: Cache) {
+        self.actions.push(json!({"kind": "POLL", "node": self.caches.names[cache]}));
+    }
+    fn wake(&mut self, token: u64, after: Tenths) {
+        self.actions.push(json!({"kind": "REMIND", "name": token, "offsetNs": after * NS_PER_TENTH}));
+    }
+    fn watch(&mut self) {
+        self.actions.push(json!({"kind": "SUBSCRIBE", "active": true}));
+    }
+    fn log(&mut self, text: &str) {
+        self.actions.push(json!({"kind": "REMARK", "noteText": text}));
+    }
+}
+
+fn place_of(names: &[String], name: &str, field: &str, what: &str) -> Read<usize> {
+    let unknown = || format!("field {field}: expected a {what} named in the settings, got \"{name}\"");
+    names.iter().position(|n| n == name).ok_or_else(unknown)
+}
+
+fn ending(reason: &str) -> Read<Ending> {
+    Ok(match reason {
+        "done" => Ending::Resolved,
+        "enoent" => Ending::Miss,
+        "err" => Ending::Error,
+        "busy" => Ending::Full,
+        "etimedout" => Ending::TimedOut,
+        "econnrefused" => Ending::Unreachable,
+        "econnreset" => Ending::Broken,
+        "ecanceled" => Ending::Withdrawn,
+        "skipped" => Ending::Unsent,
+        other => return Err(format!("field reason: expected an outcome code, got \"{other}\"")),
+    })
+}
+
+/// What is wrong with a list's entries, if anything, before any instance acts on them.
+pub fn entries(inventory: &Object) -> Read<Vec<Object>> {
+    let read = list(inventory, "entries")?.iter().map(|v| {
+        let e = object(v, "field entries")?;
+        for name in ["node", "dc", "model"] {
+            text(e, name)?;
+        }
+        standing(text(e, "state")?)?;
+        whole_or(e, "cluster", 0)?;
+        whole_or(e, "bornNs", 0)?;
+        Ok(e.clone())
+    });
+    read.collect()
+}
+
+fn standing(state: &str) -> Read<Standing> {
+    match state {
+        "in_service" => Ok(Standing::Ready),
+        "terminating" => Ok(Standing::Draining),
+        "terminated" => Ok(Standing::Gone),
+        other => Err(format!("field state: expected a state of a cache node, got \"{other}\"")),
+    }
+}
+
+impl Desk {
+    pub fn open(up: &Object) -> Read<Desk> {
+        let seed = whole(up, "randomSeed")?;
+        let options = up.get("options").ok_or("field options: missing, expected an object")?;
+        let house = house::read(object(options, "field options")?)?;
+        let mut zones = Door::default();
+        house.zones.iter().for_each(|z| {
+            zones.index_of(z);
+        });
+        Ok(Desk {
+            router: Router::new(seed, &house.rules),
+            house,
+            caches: Door::default(),
+            zones,
+            lookups: HashMap::new(),
+            requests: HashMap::new(),
+        })
+    }
+
+    pub fn event(
+        &mut self,
+        now: Tenths,
+        kind: &str,
+        event: &Object,
+        lists: &HashMap<u64, Vec<Object>>,
+        actions: &mut Vec<Value>,
+    ) -> Read<()> {
+        self.router.clock(now);
+        match kind {
+            "MEMBERS" => return self.members(event, lists, actions),
+            "KNOCK" => return self.knock(event, actions),
+            _ => {}
+        }
+        // What the router may still be told about, before the pen borrows the door.
+        let lkp = match kind {
+            "CANCELLED_BY_CLIENT" | "DONE" | "ACCEPTED" => {
+                let req = whole(event, "req")?;
+                self.lookups.get(&req).map(|lkp| (req, *lkp))
+            }
+            _ => None,
+        };
+        let node = match kind {
+            "DONE" | "ACCEPTED" | "HEALTH_RESULT" => Some(text(event, "node")?),
+            _ => None,
+        };
+        let pen = &mut Pen { caches: &self.caches, requests: &self.requests, actions };
+        let router = &mut self.router;
+        match kind {
+            "DONE" => {
+                let (shot, how) = (whole(event, "trial")?, ending(text(event, "reason")?)?);
+                let took = whole(event, "latencyNs")? / NS_PER_TENTH;
+                whole_or(event, "info", 0)?;
+                let finished = flag(event, "finished")?;
+                if let Some((_, lkp)) = lkp {
+                    lkp.shot_ended(router, shot as usize, how, took, finished, pen);
+                }
+            }
+            "ACCEPTED" => {
+                whole(event, "trial")?;
+                if let Some((_, lkp)) = lkp {
+                    lkp.answer_begun(router);
+                }
+            }
+            "CANCELLED_BY_CLIENT" => {
+                if let Some((_, lkp)) = lkp {
+                    lkp.client_left(router, pen);
+                }
+            }
+            "WAKEUP" => router.woken(whole(event, "name")?, pen),
+            "HEALTH_RESULT" => {
+                let answered = ending(text(event, "reason")?)? == Ending::Resolved;
+                if let Some(cache) = node.and_then(|n| self.caches.index.get(n)) {
+                    router.probed(*cache, answered, pen);
+                }
+            }
+            "FROM_PEER" => {
+                whole(event, "srcPeer")?;
+                text_or(event, "bytes", "")?;
+            }
+            other => return Err(format!("field kind: expected an event of the wire, got \"{other}\"")),
+        }
+        if kind == "WAKEUP" {
+            // A wake may end any lookup, not only its own.
+            self.sweep();
+        } else if let Some((req, lkp)) = lkp.filter(|(_, lkp)| !lkp.known(&self.router)) {
+            self.lookups.remove(&req);
+            self.requests.remove(&lkp);
+        }
+        Ok(())
+    }
+
+    /// Drops ids that the router is done with, now and then, so that a long day stays small.
+    fn sweep(&mut self) {
+        if self.requests.len() > 2 * self.router.open() + 1000 {
+            self.requests.retain(|lkp, _| lkp.known(&self.router));
+            self.lookups.retain(|_, lkp| lkp.known(&self.router));
+        }
+    }
+
+    fn knock(&mut self, event: &Object, actions: &mut Vec<Value>) -> Read<()> {
+        let req = whole(event, "req")?;
+        let ns = place_of(&self.house.namespaces, text(event, "service")?, "service", "namespace")?;
+        let tenant = match text_or(event, "project", "")? {
+            "" => None,
+            name => Some(place_of(&self.house.tenants, name, "project", "tenant")?),
+        };
+        let key = text_or(event, "routeKey", "")?;
+        let expires = whole(event, "expiresNs")? / NS_PER_TENTH;
+        let (write, again) = (flag(event, "isWrite")?, flag(event, "retry")?);
+        let lkp = self.router.take(ns, tenant, key, write, again, expires);
+        self.lookups.insert(req, lkp);
+        self.requests.insert(lkp, req);
+        let mut pen = Pen { caches: &self.caches, requests: &self.requests, actions };
+        lkp.route(&mut self.router, &mut pen);
+        Ok(())
+    }
+
+    fn members(
+        &mut self,
+        event: &Object,
+        lists: &HashMap<u64, Vec<Object>>,
+        actions: &mut Vec<Value>,
+    ) -> Read<()> {
+        let scope = text(event, "scope")?;
+        let mut entries = Vec::new();
+        if scope != "Error" {
+            let number = whole(event, "buffer")?;
+            let undeclared = || format!("field buffer: expected the number of a declared list, got {number}");
+            for e in lists.get(&number).ok_or_else(undeclared)? {
+                entries.push(Entry {
+                    cache: self.caches.index_of(text(e, "node")?),
+                    id: text(e, "node")?,
+                    zone: self.zones.index_of(text(e, "dc")?),
+                    kind: place_of(&self.house.kinds, text(e, "model")?, "model", "kind")?,
+                    cell: whole_or(e, "cluster", 0)?,
+                    standing: standing(text(e, "state")?)?,
+                    born: whole_or(e, "bornNs", 0)? / NS_PER_TENTH,
+                });
+            }
+        }
+        let pen = &mut Pen { caches: &self.caches, requests: &self.requests, actions };
+        match scope {
+            "Partial" => self.router.list_changes(&entries, pen),
+            "Complete" => self.router.list_whole(&entries, pen),
+            "Persisted" => self.router.list_saved(&entries, pen),
+            "Error" => self.router.watch_failed(pen),
+            other => return Err(format!("field scope: expected a kind of list, got \"{other}\"")),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/benchlink/src/fields.rs
@@ -0,0 +1,66 @@
+//! Reading fields out of the wire's JSON, with plain words on what is wrong.
+
+use serde_json::{Map, Value};
+
+pub type Object = Map<String, Value>;
+pub type Read<T> = Result<T, String>;
+
+fn short(value: &Value) -> String {
+    let text = value.to_string();
+    match text.char_indices().nth(60) {
+        Some((cut, _)) => format!("{}...", &text[..cut]),
+        None => text,
+    }
+}
+
+pub fn object<'a>(value: &'a Value, what: &str) -> Read<&'a Object> {
+    let wrong = || format!("{what}: expected an object, got {}", short(value));
+    value.as_object().ok_or_else(wrong)
+}
+
+/// The field, if it is there and not null, read by `as_kind`.
+fn optional<'a, T>(
+    o: &'a Object,
+    name: &str,
+    kind: &str,
+    as_kind: impl Fn(&'a Value) -> Option<T>,
+) -> Read<Option<T>> {
+    match o.get(name).filter(|v| !v.is_null()) {
+        None => Ok(None),
+        Some(v) => {
+            let wrong = || format!("field {name}: expected {kind}, got {}", short(v));
+            as_kind(v).map(Some).ok_or_else(wrong)
+        }
+    }
+}
+
+fn needed<T>(found: Option<T>, name: &str, kind: &str) -> Read<T> {
+    found.ok_or_else(|| format!("field {name}: missing, expected {kind}"))
+}
+
+const WHOLE: &str = "a whole number";
+
+pub fn whole_or(o: &Object, name: &str, or: u64) -> Read<u64> {
+    Ok(optional(o, name, WHOLE, Value::as_u64)?.unwrap_or(or))
+}
+
+pub fn whole(o: &Object, name: &str) -> Read<u64> {
+    needed(optional(o, name, WHOLE, Value::as_u64)?, name, WHOLE)
+}
+
+pub fn flag(o: &Object, name: &str) -> Read<bool> {
+    Ok(optional(o, name, "true or false", Value::as_bool)?.unwrap_or(false))
+}
+
+pub fn text_or<'a>(o: &'a Object, name: &str, or: &'a str) -> Read<&'a str> {
+    Ok(optional(o, name, "a text", Value::as_str)?.unwrap_or(or))
+}
+
+pub fn text<'a>(o: &'a Object, name: &str) -> Read<&'a str> {
+    needed(optional(o, name, "a text", Value::as_str)?, name, "a text")
+}
+
+pub fn list<'a>(o: &'a Object, name: &str) -> Read<&'a [Value]> {
+    let found = optional(o, name, "an array", Value::as_array)?;
+    needed(found, name, "an array").map(Vec::as_slice)
+}
--- /dev/null
+++ b/crates/benchlink/src/house.rs
@@ -0,0 +1,149 @@
+//! Settings of the wire into the router's map, by the names of the house.
+
+use crate::fields::{Object, Read, object};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy)]
+enum Form {
+    Number,
+    Time,
+    Flag,
+    Word,
+}
+use Form::*;
+
+const NAMED: [(&str, &str, Form); 18] = [
+    ("position", "position", Number),
+    ("balancers", "proxies", Number),
+    ("excessUtility", "excess utility", Number),
+    ("utilityBasis", "utility basis", Word),
+    ("weightKind", "size kind", Word),
+    ("ceilings.mostShots", "most shots", Number),
+    ("ceilings.secondCopies", "second copies", Flag),
+    ("ceilings.probes", "probes", Flag),
+    ("ceilings.peers", "peers", Flag),
+    ("ceilings.cancelling", "withdrawals", Flag),
+    ("ceilings.retryAfter", "return advice", Flag),
+    ("ceilings.maxRetryAfterNs", "longest stay away", Time),
+    ("rules.drainGraceNs", "drain grace", Time),
+    ("rules.startCapacity", "cold share", Number),
+    ("rules.coldNs", "cold time", Time),
+    ("rules.fallMultiple", "fall multiple", Number),
+    ("rules.fallNs", "fall time", Time),
+    ("familyInfo.originFallMultiple", "origin fall multiple", Number),
+];
+
+const OF_NAMESPACE: [(&str, &str, Form); 7] = [
+    ("targetTimeNs", "target time", Time),
+    ("timeLimitNs", "time limit", Time),
+    ("utility", "utility", Number),
+    ("overdueUtility", "late utility", Number),
+    ("idempotency", "repeats", Word),
+    ("group", "group", Word),
+    ("dedupWindowNs", "window", Time),
+];
+
+const OF_TENANT: [(&str, &str, Form); 2] =
+    [("allowancePerS", "allowance", Number), ("fraction", "share", Number)];
+
+fn in_house_words(word: &str) -> &str {
+    match word {
+        "free" => "replayable",
+        "guarded" => "tagged",
+        "single_shot" => "single-use",
+        other => other,
+    }
+}
+
+fn said(value: &Value, path: &str, form: Form) -> Read<String> {
+    let wrong = |kind: &str| format!("setting {path}: expected {kind}, got {value}");
+    let number = || value.as_f64().ok_or_else(|| wrong("a number"));
+    match form {
+        Number => number().map(|n| n.to_string()),
+        Time => number().map(|n| (n / 1e5).round().to_string()),
+        Flag => value.as_bool().map(|b| u8::from(b).to_string()).ok_or_else(|| wrong("true or false")),
+        Word => value.as_str().map(|w| in_house_words(w).to_string()).ok_or_else(|| wrong("a text")),
+    }
+}
+
+fn pick(
+    from: &Object,
+    table: &[(&str, &str, Form)],
+    before: (&str, &str),
+    into: &mut BTreeMap<String, String>,
+) -> Read<()> {
+    for (path, name, form) in table {
+        let (group, field) = path.split_once('.').unwrap_or(("", path));
+        let holder = match (group, from.get(group)) {
+            ("", _) => from,
+            (_, Some(v)) => object(v, &format!("setting {group}"))?,
+            (_, None) => continue,
+        };
+        if let Some(value) = holder.get(field).filter(|v| !v.is_null()) {
+            into.insert(format!("{}{name}", before.1), said(value, &format!("{}{path}", before.0), *form)?);
+        }
+    }
+    Ok(())
+}
+
+/// The names in one of the settings' lists, each with its own fields picked into the map.
+fn listed(
+    options: &Object,
+    wire: &str,
+    (one, many): (&str, &str),
+    table: &[(&str, &str, Form)],
+    into: &mut BTreeMap<String, String>,
+) -> Read<Vec<String>> {
+    let items = match options.get(wire).filter(|v| !v.is_null()) {
+        None => &Vec::new(),
+        Some(v) => v.as_array().ok_or_else(|| format!("setting {wire}: expected an array, got {v}"))?,
+    };
+    into.insert(many.to_string(), items.len().to_string());
+    let read = items.iter().enumerate().map(|(i, item)| {
+        let path = format!("{wire}[{i}]");
+        let o = match item.as_str() {
+            Some(name) => return Ok(name.to_string()),
+            None => object(item, &format!("setting {path}"))?,
+        };
+        pick(o, table, (&format!("{path}."), &format!("{one} {i} ")), into)?;
+        let name = o.get("name").and_then(Value::as_str);
+        name.map(str::to_string).ok_or_else(|| format!("setting {path}.name: missing, expected a text"))
+    });
+    read.collect()
+}
+
+/// The router's map, and the names that later events are looked up by.
+pub struct House {
+    pub rules: BTreeMap<String, String>,
+    pub namespaces: Vec<String>,
+    pub tenants: Vec<String>,
+    pub kinds: Vec<String>,
+    pub zones: Vec<String>,
+}
+
+pub fn read(options: &Object) -> Read<House> {
+    let mut rules = BTreeMap::new();
+    pick(options, &NAMED, ("", ""), &mut rules)?;
+    let namespaces = listed(options, "namespaces", ("namespace", "namespaces"), &OF_NAMESPACE, &mut rules)?;
+    let tenants = listed(options, "tenants", ("tenant", "tenants"), &OF_TENANT, &mut rules)?;
+    let kinds = listed(options, "kinds", ("kind", "kinds"), &[], &mut rules)?;
+    let zones = listed(options, "zones", ("zone", "zones"), &[], &mut rules)?;
+    if rules.get("return advice").is_none_or(|said| said == "0") {
+        rules.remove("longest stay away");
+    }
+    let own = crate::fields::text_or(options, "az", "")?;
+    if let Some(zone) = zones.iter().position(|z| z == own) {
+        rules.insert("zone".into(), zone.to_string());
+    }
+    let watched = crate::fields::text_or(options, "discovery", "automatic")? == "subscribe";
+    rules.insert("watched".into(), u8::from(watched).to_string());
+    if let Some(info) = options.get("familyInfo").filter(|v| !v.is_null()) {
+        let info = object(info, "setting familyInfo")?;
+        let kind = info.get("originKind").and_then(Value::as_i64).filter(|k| *k >= 0);
+        if let Some(kind) = kind.filter(|_| info.get("mode").and_then(Value::as_str) == Some("aside")) {
+            rules.insert("origin kind".into(), kind.to_string());
+        }
+    }
+    Ok(House { rules, namespaces, tenants, kinds, zones })
+}
--- /dev/null
+++ b/crates/policy/src/policy.rs
@@ -0,0 +1,703 @@
+//! Every decision of chalkwalk stands in this file; `plain.rs` holds the types it is called with.
+//!
+//! One `Router` is one proxy. Set its clock with `clock`, hand it the list of caches with `list_saved`,
+//! `list_whole`, `list_changes` or `watch_failed`, and each lookup with `take`, which returns a handle:
+//! call `lkp.route(..)` once, then `lkp.shot_ended(..)`, `lkp.answer_begun(..)` and `lkp.client_left(..)`
+//! as things happen to it. `woken` and `probed` bring back what the router asked for. What it wants done
+//! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
+
+use crate::plain::{Cache, Carrier, Ending, Entry, Lkp, Standing, Tenths};
+use std::collections::{BTreeMap, HashMap};
+
+const SECOND: Tenths = 10_000;
+const CACHE_TOKEN: u64 = 1 << 61; // wakes below this are lookups, from here on caches
+const WATCH_TOKEN: u64 = 1 << 62;
+
+/// Multiply-with-carry, after Marsaglia.
+#[derive(Default)]
+struct Chance(u64);
+
+impl Chance {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
+        ((self.0 & 0xffff_ffff) * n.max(1)) >> 32
+    }
+}
+
+/// FNV-1a with a closing mix, so that names that differ in one letter land far apart on the ring.
+fn point(name: &str, salt: u64) -> u64 {
+    let seen = name
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    mixed(seen ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+fn mixed(mut h: u64) -> u64 {
+    h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    h ^ (h >> 33)
+}
+
+/// A coarse histogram of times: a bin for each doubling from 0.8 ms up, halved once a second.
+#[derive(Clone, Default)]
+struct Tally([u32; 14]);
+
+impl Tally {
+    fn add(&mut self, took: Tenths) {
+        self.0[(took / 8 + 1).ilog2().min(13) as usize] += 4; // fours, so that a single one outlives two halvings
+    }
+
+    fn fade(&mut self) {
+        self.0.iter_mut().for_each(|n| *n /= 2);
+    }
+
+    /// The mean, with `usual` counted as one more measurement.
+    fn mean(&self, usual: Tenths) -> Tenths {
+        let sum: u64 = (0..14).map(|i| u64::from(self.0[i]) * (12 << i)).sum();
+        let count: u64 = self.0.iter().map(|n| u64::from(*n)).sum();
+        (sum + 4 * usual) / (count + 4)
+    }
+
+    /// The time that nine in ten stayed under, or `usual` where too few were measured.
+    fn ninth(&self, usual: Tenths) -> Tenths {
+        let count: u32 = self.0.iter().sum();
+        let mut left = count / 10;
+        for i in (0..14).rev() {
+            if count >= 20 && self.0[i] > left {
+                return 16 << i;
+            }
+            left -= self.0[i].min(left);
+        }
+        usual
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Repeats {
+    Replayable,
+    Tagged,
+    SingleUse,
+}
+
+struct Namespace {
+    target: Tenths,
+    late_counts: bool,
+    repeats: Repeats,
+    group: String,
+    window: Tenths,
+}
+
+/// What the house allows, read once when the router starts.
+#[derive(Default)]
+struct HouseRules {
+    zone: usize,
+    most_shots: usize,
+    second_copies: bool,
+    probes: bool,
+    withdrawals: bool,
+    longest_stay_away: Tenths, // 0: clients are not told when to return
+    cold_share: f64,
+    cold_time: Tenths,
+    watched: bool,
+    origin_kind: Option<usize>,
+    namespaces: Vec<Namespace>,
+}
+
+impl HouseRules {
+    fn read(said: &BTreeMap<String, String>) -> HouseRules {
+        let word = |name: &str| said.get(name).map_or("", String::as_str);
+        let num = |name: &str, or: f64| word(name).parse::<f64>().unwrap_or(or);
+        let namespace = |i: usize| {
+            let own = |name: &str| format!("namespace {i} {name}");
+            Namespace {
+                target: num(&own("target time"), 1e4) as Tenths,
+                late_counts: num(&own("late utility"), 0.0) > 0.0,
+                repeats: match word(&own("repeats")) {
+                    "replayable" => Repeats::Replayable,
+                    "tagged" => Repeats::Tagged,
+                    _ => Repeats::SingleUse,
+                },
+                group: word(&own("group")).to_string(),
+                window: num(&own("window"), 0.0) as Tenths,
+            }
+        };
+        HouseRules {
+            zone: num("zone", 0.0) as usize,
+            most_shots: num("most shots", 1.0) as usize,
+            second_copies: num("second copies", 0.0) > 0.0,
+            probes: num("probes", 0.0) > 0.0,
+            withdrawals: num("withdrawals", 0.0) > 0.0,
+            longest_stay_away: num("longest stay away", 0.0) as Tenths,
+            cold_share: num("cold share", 1.0),
+            cold_time: num("cold time", 0.0) as Tenths,
+            watched: num("watched", 0.0) > 0.0,
+            origin_kind: (!word("origin kind").is_empty()).then(|| num("origin kind", 0.0) as usize),
+            namespaces: (0..num("namespaces", 0.0) as usize).map(namespace).collect(),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Default, PartialEq)]
+enum Trust {
+    #[default]
+    Full,
+    Left {
+        cut_off: bool,
+    },
+    Trial {
+        passed: u32,
+    },
+}
+
+/// What this proxy knows of one cache (or of the origin).
+#[derive(Default)]
+struct Known {
+    id: String,
+    zone: usize,
+    cell: u64,
+    standing: Standing,
+    born: Tenths,
+    out: u64,           // own shots in flight
+    owes_since: Tenths, // last answer, or the first shot since nothing was out
+    pace: Tally,        // time of an answered shot over the shots that shared the cache with it
+    good: u32,
+    bad: u32,
+    bad_run: u32,
+    trust: Trust,
+    stay: Tenths, // how long it is left alone next
+}
+
+struct Shot {
+    cache: Cache,
+    sent: Tenths,
+    company: u64,
+    out: bool,
+    may_have_run: bool,
+    bad: bool,
+}
+
+#[derive(Default)]
+struct Lookup {
+    ns: usize,
+    key: u64,
+    write: bool,
+    expires: Tenths,
+    useful_until: Tenths,
+    shots: Vec<Shot>,
+    over: bool,
+    begun: bool,
+    waits: bool,
+    leads: bool,
+}
+
+impl Lookup {
+    fn out(&self) -> bool {
+        self.shots.iter().any(|s| s.out)
+    }
+}
+
+#[derive(Default)]
+pub struct Router {
+    now: Tenths,
+    house: HouseRules,
+    chance: Chance,
+    caches: Vec<Known>,
+    home: Vec<(u64, Cache)>,
+    away: Vec<(u64, Cache)>,
+    origin: Option<Cache>,
+    lookups: HashMap<u64, Lookup>,
+    taken: u64,
+    fetches: HashMap<u64, Vec<Lkp>>,
+    pace: Tally,
+    times: Tally,
+    faded: Tenths,
+    spare: u64,
+    watch_fails: u32,
+}
+
+impl Router {
+    pub fn new(seed: u64, said: &BTreeMap<String, String>) -> Router {
+        let (house, chance) = (HouseRules::read(said), Chance(mixed(seed) | 1));
+        Router { house, chance, spare: 50, ..Router::default() }
+    }
+
+    pub fn clock(&mut self, now: Tenths) {
+        self.now = now;
+        // One second: long enough for some dozens of answers, short enough to see a trouble begin and end.
+        while self.faded + SECOND <= now {
+            self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
+            self.pace.fade();
+            self.times.fade();
+            for c in &mut self.caches {
+                c.pace.fade();
+                (c.good, c.bad) = (c.good / 2, c.bad / 2);
+                if c.trust == Trust::Full {
+                    c.stay -= c.stay / 8;
+                }
+            }
+        }
+    }
+
+    // ---- the list of caches ----
+
+    pub fn list_saved(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
+        self.list_whole(entries, out);
+        if self.house.watched {
+            out.watch();
+        }
+    }
+
+    pub fn list_whole(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
+        self.caches.iter_mut().for_each(|c| c.standing = Standing::Gone);
+        self.list_changes(entries, out);
+    }
+
+    pub fn list_changes(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
+        if self.watch_fails > 0 {
+            out.log("list watch is back");
+        }
+        self.watch_fails = 0;
+        for e in entries {
+            while self.caches.len() <= e.cache {
+                self.caches.push(Known::default());
+            }
+            let c = &mut self.caches[e.cache];
+            if e.born > c.born {
+                // A new process under an old id: what was held against the old one is void.
+                (c.good, c.bad, c.bad_run, c.stay, c.trust) = (0, 0, 0, 0, Trust::Full);
+            }
+            c.id = e.id.to_string();
+            (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born);
+            if Some(e.kind) == self.house.origin_kind {
+                self.origin = Some(e.cache);
+            }
+        }
+        // 128 points a cache, as the design has it, from the id alone: all proxies build one ring.
+        let mut rings = (Vec::new(), Vec::new());
+        for (i, c) in self.caches.iter().enumerate() {
+            if Some(i) != self.origin && c.standing == Standing::Ready {
+                let ring = if c.zone == self.house.zone { &mut rings.0 } else { &mut rings.1 };
+                ring.extend((0..128).map(|salt| (point(&c.id, salt + 1), i)));
+            }
+        }
+        (self.home, self.away) = rings;
+        self.home.sort_unstable();
+        self.away.sort_unstable();
+    }
+
+    pub fn watch_failed(&mut self, out: &mut dyn Carrier) {
+        if self.watch_fails == 0 {
+            out.log("list watch is lost");
+        }
+        // Doubling from 0.2 s to 3.2 s and half of it by chance: the list is one small service for all, and
+        // it must hear from us well inside the ten seconds after which we count as told.
+        let wait = (SECOND / 5) << self.watch_fails.min(4);
+        self.watch_fails += 1;
+        let by_chance = self.chance.below(wait);
+        out.wake(WATCH_TOKEN, wait / 2 + by_chance);
+    }
+
+    // ---- which cache ----
+
+    fn ready(&self, cache: Cache) -> bool {
+        self.caches[cache].standing == Standing::Ready
+    }
+
+    /// What a shot sent now would take: the pace of the cache times the shots that would share it.
+    fn forecast(&self, cache: Cache) -> Tenths {
+        let usual = if Some(cache) == self.origin { 400 } else { self.pace.mean(300) };
+        let c = &self.caches[cache];
+        c.pace.mean(usual) * (c.out + 1)
+    }
+
+    /// How long a cache with shots out may say nothing before it counts as silent: twice what nine in ten
+    /// answers stay under, so that a heavy lookup alone seldom does it; within 0.05 and 0.5 s.
+    fn hush(&self) -> Tenths {
+        (2 * self.times.ninth(SECOND / 10)).clamp(SECOND / 20, SECOND / 2)
+    }
+
+    fn silent(&self, cache: Cache) -> bool {
+        let c = &self.caches[cache];
+        c.out > 0 && self.now - c.owes_since > self.hush()
+    }
+
+    /// A cold cache stands on the ring with the stated share of its keys only, the same keys at every proxy
+    /// and more by and by: each proxy keeps to its own part of the cache's budget with nothing to remember.
+    /// Guards against pushing over a cache that comes back, and the origin with its misses.
+    fn warm_enough(&self, cache: Cache, key: u64) -> bool {
+        let (c, house) = (&self.caches[cache], &self.house);
+        let age = self.now.saturating_sub(c.born);
+        if c.born == 0 || age >= house.cold_time {
+            return true;
+        }
+        let share = house.cold_share + (1.0 - house.cold_share) * age as f64 / house.cold_time as f64;
+        ((mixed(key) >> 11) as f64) < share * (1u64 << 53) as f64
+    }
+
+    /// Whether the rules on repeats let this lookup go to that cache now.
+    fn may_shoot(&self, l: &Lookup, cache: Cache) -> bool {
+        let ns = &self.house.namespaces[l.ns];
+        if l.shots.len() >= self.house.most_shots || (l.out() && !self.house.second_copies) {
+            return false;
+        }
+        l.shots.iter().filter(|s| s.may_have_run).all(|s| match ns.repeats {
+            Repeats::Replayable => true,
+            Repeats::SingleUse => false,
+            Repeats::Tagged => {
+                let (a, b) = (&self.caches[s.cache], &self.caches[cache]);
+                let together = match ns.group.as_str() {
+                    "all" => true,
+                    "zone" => a.zone == b.zone,
+                    _ => a.zone == b.zone && a.cell == b.cell,
+                };
+                together && self.now < s.sent + ns.window
+            }
+        })
+    }
+
+    /// Walks a ring from the key's point, passing caches at the cap. Care 2 also passes caches that are left,
+    /// silent, or would need over half of the time that is left; care 1 allows nine tenths of that time;
+    /// care 0 asks a cache that is left rather than none.
+    fn walk(&self, home: bool, l: &Lookup, care: u32) -> Option<Cache> {
+        let ring = if home { &self.home } else { &self.away };
+        let mut zone: Vec<Cache> = Vec::new();
+        let start = ring.partition_point(|p| p.0 < l.key);
+        for i in 0..ring.len() {
+            let cache = ring[(start + i) % ring.len()].1;
+            if !zone.contains(&cache) {
+                zone.push(cache);
+                if zone.len() * 128 == ring.len() {
+                    break;
+                }
+            }
+        }
+        let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
+        let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
+        let left = l.useful_until.saturating_sub(self.now);
+        let patience = if care == 2 { left / 2 } else { left * 9 / 10 };
+        let doubted = |c: &&Known| matches!(c.trust, Trust::Left { cut_off: false });
+        let known = || self.caches.iter().filter(|c| c.standing == Standing::Ready);
+        // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
+        let all_doubted = known().filter(doubted).count() * 2 > known().count();
+        zone.into_iter().find(|&cache| {
+            let c = &self.caches[cache];
+            let trusted = match c.trust {
+                Trust::Full => true,
+                Trust::Left { cut_off } => care == 0 || (all_doubted && !cut_off),
+                Trust::Trial { .. } => c.out == 0,
+            };
+            trusted
+                && c.out < cap
+                && (care == 0 || !self.silent(cache))
+                && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
+                && self.warm_enough(cache, l.key)
+                && self.forecast(cache) <= patience
+                && self.may_shoot(l, cache)
+        })
+    }
+
+    // ---- a lookup's way ----
+
+    /// Lookups that are not done with yet.
+    pub fn open(&self) -> usize {
+        self.lookups.len()
+    }
+
+    /// Takes a lookup. It must be answered once, before `expires`; route it next.
+    pub fn take(
+        &mut self,
+        ns: usize,
+        _tenant: Option<usize>,
+        key: &str,
+        write: bool,
+        _again: bool,
+        expires: Tenths,
+    ) -> Lkp {
+        let lkp = Lkp(self.taken);
+        self.taken += 1;
+        // A fifth of all lookups may be sent once more, and a few dozen in a row: enough for a cache that
+        // fails until it is left, too little for a retry storm.
+        self.spare = (self.spare + 2).min(400);
+        let rules = &self.house.namespaces[ns];
+        let useful = if rules.late_counts { expires } else { expires.min(self.now + rules.target) };
+        let lookup =
+            Lookup { ns, key: point(key, 0), write, expires, useful_until: useful, ..Lookup::default() };
+        self.lookups.insert(lkp.0, lookup);
+        lkp
+    }
+
+    fn place(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
+        let l = &self.lookups[&lkp.0];
+        if l.write && self.house.origin_kind.is_some() {
+            return self.ask_origin(lkp, out);
+        }
+        let rounds = [(true, 2), (false, 2), (true, 1), (false, 1), (true, 0), (false, 0)];
+        match rounds.into_iter().find_map(|(home, care)| self.walk(home, l, care)) {
+            Some(cache) => self.shoot(lkp, cache, out),
+            None => self.give_up(lkp, out),
+        }
+    }
+
+    /// Aside caches: misses and writes go to the origin. One fetch a key at a time; who comes meanwhile waits
+    /// for it and then asks the cache again. Guards the origin against a stampede on one key.
+    fn ask_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
+        let l = &self.lookups[&lkp.0];
+        let left = l.useful_until.saturating_sub(self.now);
+        let Some(origin) = self.origin.filter(|o| self.ready(*o) && self.may_shoot(l, *o)) else {
+            return self.give_up(lkp, out);
+        };
+        if !l.write && self.fetches.contains_key(&l.key) {
+            self.fetches.entry(l.key).or_default().push(lkp);
+            self.lookups.entry(lkp.0).and_modify(|l| l.waits = true);
+            return out.wake(lkp.0, left);
+        }
+        if self.forecast(origin) > left {
+            return self.give_up(lkp, out);
+        }
+        if !l.write {
+            self.fetches.insert(l.key, Vec::new());
+            self.lookups.entry(lkp.0).and_modify(|l| l.leads = true);
+        }
+        self.shoot(lkp, origin, out);
+    }
+
+    fn shoot(&mut self, lkp: Lkp, cache: Cache, out: &mut dyn Carrier) {
+        let hush = self.hush();
+        let (Some(l), c) = (self.lookups.get_mut(&lkp.0), &mut self.caches[cache]) else { return };
+        if c.out == 0 {
+            c.owes_since = self.now;
+        }
+        c.out += 1;
+        l.waits = false;
+        let (sent, company) = (self.now, c.out);
+        l.shots.push(Shot { cache, sent, company, out: true, may_have_run: true, bad: false });
+        out.shoot(lkp, cache, l.expires);
+        if Some(cache) != self.origin {
+            out.wake(lkp.0, hush + 1);
+        }
+    }
+
+    /// Tries once more where the rules and the budget allow, else gives up.
+    fn move_on(&mut self, lkp: Lkp, free: bool, out: &mut dyn Carrier) {
+        let l = &self.lookups[&lkp.0];
+        if self.now >= l.useful_until || (!free && self.spare < 10) {
+            return self.give_up(lkp, out);
+        }
+        self.spare -= if free { 0 } else { 10 };
+        self.place(lkp, out);
+    }
+
+    /// The final answer, at once. A deferral only where a further try is harmless.
+    fn give_up(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
+        let l = &self.lookups[&lkp.0];
+        if l.out() {
+            return;
+        }
+        let ns = &self.house.namespaces[l.ns];
+        let harmless = l.shots.iter().filter(|s| s.may_have_run).all(|s| match ns.repeats {
+            Repeats::Replayable => true,
+            Repeats::Tagged => ns.group == "all" && self.now < s.sent + ns.window,
+            Repeats::SingleUse => false,
+        });
+        if harmless {
+            // Half a second to one and a half, spread so that those sent away do not return together.
+            let back_in = (SECOND / 2 + self.chance.below(SECOND)).min(self.house.longest_stay_away);
+            out.defer(lkp, back_in);
+        } else {
+            out.abandon(lkp);
+        }
+        self.close(lkp, out);
+    }
+
+    /// The lookup has its final answer: nothing more is sent for it.
+    fn close(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
+        let Some(l) = self.lookups.get_mut(&lkp.0) else { return };
+        if !l.over && self.house.withdrawals {
+            let open = l.shots.iter().enumerate().filter(|(_, s)| s.out);
+            open.for_each(|(i, _)| out.withdraw(lkp, i));
+        }
+        let key = l.leads.then_some(l.key);
+        (l.over, l.leads) = (true, false);
+        if !l.out() {
+            self.lookups.remove(&lkp.0);
+        }
+        self.release(key, false, out);
+    }
+
+    /// Those who waited for a fetch go on: to the cache that now holds the key, or one of them to the origin.
+    fn release(&mut self, key: Option<u64>, stored: bool, out: &mut dyn Carrier) {
+        for lkp in key.and_then(|k| self.fetches.remove(&k)).unwrap_or_default() {
+            match self.lookups.get(&lkp.0) {
+                Some(l) if !l.waits => {}
+                Some(_) if stored => self.place(lkp, out),
+                Some(_) => self.ask_origin(lkp, out),
+                None => {}
+            }
+        }
+    }
+
+    // ---- health ----
+
+    fn judge(&mut self, cache: Cache, ending: Ending, silent: bool, out: &mut dyn Carrier) {
+        let c = &mut self.caches[cache];
+        match ending {
+            Ending::Resolved | Ending::Miss => (c.good, c.bad_run) = (c.good + 1, 0),
+            Ending::TimedOut if !silent => return,
+            Ending::Full | Ending::Withdrawn | Ending::Unsent => return,
+            _ => (c.bad, c.bad_run) = (c.bad + 1, c.bad_run + 1),
+        }
+        let cut_off = matches!(ending, Ending::Unreachable | Ending::Broken);
+        if Some(cache) == self.origin {
+            return;
+        }
+        if let Trust::Trial { passed } = c.trust {
+            // Two in a row: a cache that fails half of its lookups passes one trial in four.
+            if c.bad_run == 0 && passed == 0 {
+                c.trust = Trust::Trial { passed: 1 };
+            } else if c.bad_run == 0 {
+                (c.trust, c.good, c.bad) = (Trust::Full, 2, 0);
+                out.log(&format!("cache {} taken back", c.id));
+            }
+        }
+        // Left at the first sign that nothing listens, after three failures in a row, or when a third of what
+        // it answered lately failed: a fast failer holds little and would otherwise keep its keys.
+        let on_trial = matches!(c.trust, Trust::Trial { .. });
+        let failing = c.bad_run >= 3 || (c.bad >= 4 && c.bad * 2 >= c.good);
+        if failing || ((cut_off || on_trial) && c.bad_run > 0) {
+            self.leave(cache, cut_off, out);
+        }
+    }
+
+    fn leave(&mut self, cache: Cache, cut_off: bool, out: &mut dyn Carrier) {
+        let c = &mut self.caches[cache];
+        if matches!(c.trust, Trust::Left { .. }) {
+            return;
+        }
+        // From half a second, doubled at each new leave up to eight: short troubles cost little, long ones too.
+        c.stay = (c.stay * 2).clamp(SECOND / 2, 8 * SECOND);
+        if c.trust == Trust::Full {
+            out.log(&format!("cache {} left", c.id));
+        }
+        c.trust = Trust::Left { cut_off };
+        c.bad_run = 0;
+        let wait = c.stay + self.chance.below(c.stay / 4);
+        out.wake(CACHE_TOKEN + cache as u64, wait);
+    }
+
+    pub fn probed(&mut self, cache: Cache, answered: bool, out: &mut dyn Carrier) {
+        let Some(c) = self.caches.get_mut(cache) else { return };
+        if let Trust::Left { cut_off } = c.trust {
+            c.trust = Trust::Trial { passed: 0 };
+            if !answered {
+                self.leave(cache, cut_off, out);
+            }
+        }
+    }
+
+    pub fn woken(&mut self, token: u64, out: &mut dyn Carrier) {
+        if token >= WATCH_TOKEN {
+            return out.watch();
+        }
+        if token >= CACHE_TOKEN {
+            let cache = (token - CACHE_TOKEN) as Cache;
+            match self.caches.get(cache) {
+                Some(c) if c.standing == Standing::Ready && self.house.probes => out.probe(cache),
+                _ => self.probed(cache, true, out),
+            }
+            return;
+        }
+        let lkp = Lkp(token);
+        let Some(l) = self.lookups.get(&token).filter(|l| !l.over && !l.begun) else { return };
+        if l.waits {
+            if self.now >= l.useful_until {
+                self.give_up(lkp, out);
+            }
+            return;
+        }
+        let Some((i, shot)) = l.shots.iter().enumerate().rfind(|(_, s)| s.out) else { return };
+        let (cache, sent, hush) = (shot.cache, shot.sent, self.hush());
+        if Some(cache) == self.origin || self.now >= l.useful_until {
+            return;
+        }
+        if self.caches[cache].owes_since > sent || !self.silent(cache) {
+            return out.wake(token, hush + 1);
+        }
+        // Nothing has come from this cache since the shot: guards against caches that hang, vanish or pause.
+        self.judge(cache, Ending::TimedOut, true, out);
+        if self.house.second_copies {
+            self.move_on(lkp, false, out);
+        } else if self.house.withdrawals && self.spare >= 10 {
+            out.withdraw(lkp, i);
+        }
+    }
+}
+
+impl Lkp {
+    pub fn route(self, router: &mut Router, out: &mut dyn Carrier) {
+        router.place(self, out);
+    }
+
+    /// Whether the router still knows this lookup; when it does not, nothing more will come of it.
+    pub fn known(self, router: &Router) -> bool {
+        router.lookups.contains_key(&self.0)
+    }
+
+    /// A stream has begun: it is the client's now, and no clock of ours runs for it.
+    pub fn answer_begun(self, router: &mut Router) {
+        router.lookups.entry(self.0).and_modify(|l| l.begun = true);
+    }
+
+    pub fn client_left(self, router: &mut Router, out: &mut dyn Carrier) {
+        router.close(self, out);
+    }
+
+    /// A shot ended; `finished` says that the client has its answer, by this or before.
+    pub fn shot_ended(
+        self,
+        router: &mut Router,
+        shot: usize,
+        ending: Ending,
+        took: Tenths,
+        finished: bool,
+        out: &mut dyn Carrier,
+    ) {
+        let Some(l) = router.lookups.get_mut(&self.0) else { return };
+        let Some(s) = l.shots.get_mut(shot).filter(|s| s.out) else { return };
+        let not_run = [Ending::Full, Ending::Unreachable, Ending::Unsent, Ending::Miss];
+        s.out = false;
+        s.may_have_run = !not_run.contains(&ending);
+        s.bad = ending != Ending::Miss;
+        let (cache, sent, company) = (s.cache, s.sent, s.company);
+        let c = &mut router.caches[cache];
+        let silent = c.owes_since <= sent;
+        c.out -= 1;
+        if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full) {
+            c.owes_since = router.now;
+        }
+        if ending == Ending::Resolved {
+            c.pace.add(took / company);
+            if Some(cache) != router.origin {
+                router.pace.add(took / company);
+                router.times.add(took);
+            }
+        }
+        let key = (l.leads && Some(cache) == router.origin).then_some(l.key);
+        l.leads &= key.is_none();
+        let over = l.over;
+        router.judge(cache, ending, silent, out);
+        if finished || over {
+            router.close(self, out);
+        } else if ending == Ending::Miss && router.house.origin_kind.is_some() {
+            router.ask_origin(self, out);
+        } else if !router.lookups[&self.0].out() {
+            let to_origin = Some(cache) == router.origin;
+            match ending {
+                Ending::Unsent | Ending::Full if to_origin => router.give_up(self, out),
+                Ending::Unreachable | Ending::Miss => router.move_on(self, true, out),
+                _ if to_origin => router.give_up(self, out),
+                _ => router.move_on(self, false, out),
+            }
+        }
+        router.release(key, ending == Ending::Resolved, out);
+    }
+}
