--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -165,6 +165,7 @@
     bad_run: u32,
     trust: Trust,
     stay: Tenths, // how long it is left alone next
+    credit: u64,  // while it is cold: thousandths of a shot that it may still be sent
 }
 
 struct Shot {
@@ -230,6 +231,7 @@
             self.times.fade();
             for c in &mut self.caches {
                 c.pace.fade();
+                c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
                 (c.good, c.bad) = (c.good / 2, c.bad / 2);
                 if c.trust == Trust::Full {
                     c.stay -= c.stay / 8;
@@ -264,7 +266,7 @@
             let c = &mut self.caches[e.cache];
             if e.born > c.born {
                 // A new process under an old id: what was held against the old one is void.
-                (c.good, c.bad, c.bad_run, c.stay, c.trust) = (0, 0, 0, 0, Trust::Full);
+                (c.good, c.bad, c.bad_run, c.stay, c.trust, c.credit) = (0, 0, 0, 0, Trust::Full, 1000);
             }
             c.id = e.id.to_string();
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born);
@@ -321,17 +323,37 @@
         c.out > 0 && self.now - c.owes_since > self.hush()
     }
 
-    /// A cold cache stands on the ring with the stated share of its keys only, the same keys at every proxy
-    /// and more by and by: each proxy keeps to its own part of the cache's budget with nothing to remember.
-    /// Guards against pushing over a cache that comes back, and the origin with its misses.
-    fn warm_enough(&self, cache: Cache, key: u64) -> bool {
+    /// The share of its keys that a cache may have by now, in thousandths.
+    fn warmth(&self, cache: Cache) -> u64 {
         let (c, house) = (&self.caches[cache], &self.house);
         let age = self.now.saturating_sub(c.born);
         if c.born == 0 || age >= house.cold_time {
-            return true;
+            return 1000;
         }
         let share = house.cold_share + (1.0 - house.cold_share) * age as f64 / house.cold_time as f64;
-        ((mixed(key) >> 11) as f64) < share * (1u64 << 53) as f64
+        (1000.0 * share) as u64
+    }
+
+    /// A cold cache stands on the ring with the stated share of its keys only, the same keys at every proxy
+    /// and more by and by: each proxy keeps to its own part of the cache's budget with nothing to remember.
+    /// Guards against pushing over a cache that comes back, and the origin with its misses.
+    fn warm_enough(&self, cache: Cache, key: u64) -> bool {
+        let warmth = self.warmth(cache);
+        warmth == 1000 || (mixed(key) % 1000 < warmth && self.caches[cache].credit >= 1000)
+    }
+
+    /// A cold cache may be sent as much as the mean cache answers, cut by its warmth, and what it answers
+    /// itself: so all proxies together stay near its capacity, however much is asked and whatever is known.
+    /// Guards against pushing it over when far more is asked for than the fleet can do.
+    fn give_credit(&mut self, cache: Cache, answered: bool) {
+        let ready = (0..self.caches.len()).filter(|c| self.ready(*c)).count() as u64;
+        for i in 0..self.caches.len() {
+            let warmth = self.warmth(i);
+            if warmth < 1000 && self.ready(i) {
+                let due = if i == cache && answered { 1000 } else { warmth * 5 / 4 / ready };
+                self.caches[i].credit = (self.caches[i].credit + due).min(3000);
+            }
+        }
     }
 
     /// Whether the rules on repeats let this lookup go to that cache now.
@@ -468,6 +490,7 @@
             c.owes_since = self.now;
         }
         c.out += 1;
+        c.credit = c.credit.saturating_sub(1000);
         l.waits = false;
         let (sent, company) = (self.now, c.out);
         l.shots.push(Shot { cache, sent, company, out: true, may_have_run: true, bad: false });
@@ -681,10 +704,14 @@
                 router.times.add(took);
             }
         }
+        let from_cache = Some(cache) != router.origin;
         let key = (l.leads && Some(cache) == router.origin).then_some(l.key);
         l.leads &= key.is_none();
         let over = l.over;
         router.judge(cache, ending, silent, out);
+        if from_cache && matches!(ending, Ending::Resolved | Ending::Miss) {
+            router.give_credit(cache, ending == Ending::Resolved);
+        }
         if finished || over {
             router.close(self, out);
         } else if ending == Ending::Miss && router.house.origin_kind.is_some() {
