Learn each cache's room by lateness instead of forecasting its time

Cause: the forecast scaled with shots in flight as if each cache had one core, so busy caches were called full.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -135,6 +135,22 @@
             namespaces: (0..num("namespaces", 0.0) as usize).map(namespace).collect(),
         }
     }
+
+    /// Finds how much a cache takes at once, by additive increase and multiplicative decrease. Late is what
+    /// took over half its target time, or over the shortest target time of all: queues are kept short enough
+    /// for the most urgent namespace, which the patient ones would otherwise crowd out.
+    fn resize(&self, c: &mut Known, ending: Ending, took: Tenths, company: u64, ns: usize, from_cache: bool) {
+        let half = self.namespaces[ns].target / 2;
+        let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(half);
+        let late = took > if from_cache { half.min(shortest) } else { half };
+        match ending {
+            Ending::Resolved if !late && company * 200 > c.room => c.room += 10_000 / c.room,
+            Ending::Resolved | Ending::TimedOut if late => c.room -= c.room / 16,
+            Ending::Full => c.room -= c.room / 4,
+            _ => {}
+        }
+        c.room = c.room.clamp(100, 10_000);
+    }
 }
 
 #[derive(Clone, Copy, Default, PartialEq)]
@@ -159,12 +175,12 @@
     born: Tenths,
     out: u64,           // own shots in flight
     owes_since: Tenths, // last answer, or the first shot since nothing was out
-    pace: Tally,        // time of an answered shot over the shots that shared the cache with it
     good: u32,
     bad: u32,
     bad_run: u32,
     trust: Trust,
     stay: Tenths, // how long it is left alone next
+    room: u64,    // hundredths of a shot that it takes at once without being late
     credit: u64,  // while it is cold: thousandths of a shot that it may still be sent
 }
 
@@ -209,8 +225,8 @@
     lookups: HashMap<u64, Lookup>,
     taken: u64,
     fetches: HashMap<u64, Vec<Lkp>>,
-    pace: Tally,
     times: Tally,
+    origin_times: Tally,
     faded: Tenths,
     spare: u64,
     watch_fails: u32,
@@ -227,10 +243,9 @@
         // One second: long enough for some dozens of answers, short enough to see a trouble begin and end.
         while self.faded + SECOND <= now {
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
-            self.pace.fade();
             self.times.fade();
+            self.origin_times.fade();
             for c in &mut self.caches {
-                c.pace.fade();
                 c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
                 (c.good, c.bad) = (c.good / 2, c.bad / 2);
                 if c.trust == Trust::Full {
@@ -261,7 +276,7 @@
         self.watch_fails = 0;
         for e in entries {
             while self.caches.len() <= e.cache {
-                self.caches.push(Known::default());
+                self.caches.push(Known { room: 800, ..Known::default() });
             }
             let c = &mut self.caches[e.cache];
             if e.born > c.born {
@@ -305,13 +320,6 @@
         self.caches[cache].standing == Standing::Ready
     }
 
-    /// What a shot sent now would take: the pace of the cache times the shots that would share it.
-    fn forecast(&self, cache: Cache) -> Tenths {
-        let usual = if Some(cache) == self.origin { 400 } else { self.pace.mean(300) };
-        let c = &self.caches[cache];
-        c.pace.mean(usual) * (c.out + 1)
-    }
-
     /// How long a cache with shots out may say nothing before it counts as silent: twice what nine in ten
     /// answers stay under, so that a heavy lookup alone seldom does it; within 0.05 and 0.5 s.
     fn hush(&self) -> Tenths {
@@ -395,8 +403,6 @@
         }
         let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
         let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
-        let left = l.useful_until.saturating_sub(self.now);
-        let patience = if care == 2 { left / 2 } else { left * 9 / 10 };
         let doubted = |c: &&Known| matches!(c.trust, Trust::Left { cut_off: false });
         let known = || self.caches.iter().filter(|c| c.standing == Standing::Ready);
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
@@ -413,7 +419,7 @@
                 && (care == 0 || !self.silent(cache))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && self.warm_enough(cache, l.key)
-                && self.forecast(cache) <= patience
+                && (c.out * 100 < if care == 2 { c.room } else { c.room * 3 / 2 })
                 && self.may_shoot(l, cache)
         })
     }
@@ -473,7 +479,8 @@
             self.lookups.entry(lkp.0).and_modify(|l| l.waits = true);
             return out.wake(lkp.0, left);
         }
-        if self.forecast(origin) > left {
+        let o = &self.caches[origin];
+        if o.out * 100 >= o.room || self.origin_times.mean(400) > left {
             return self.give_up(lkp, out);
         }
         if !l.write {
@@ -697,14 +704,11 @@
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full) {
             c.owes_since = router.now;
         }
+        let from_cache = Some(cache) != router.origin;
         if ending == Ending::Resolved {
-            c.pace.add(took / company);
-            if Some(cache) != router.origin {
-                router.pace.add(took / company);
-                router.times.add(took);
-            }
+            if from_cache { router.times.add(took) } else { router.origin_times.add(took) }
         }
-        let from_cache = Some(cache) != router.origin;
+        router.house.resize(c, ending, took, company, l.ns, from_cache);
         let key = (l.leads && Some(cache) == router.origin).then_some(l.key);
         l.leads &= key.is_none();
         let over = l.over;
