--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -178,6 +178,7 @@
     good: u32,
     bad: u32,
     bad_run: u32,
+    hushed: bool, // the present silence was counted
     trust: Trust,
     stay: Tenths, // how long it is left alone next
     room: u64,    // hundredths of a shot that it takes at once without being late
@@ -494,7 +495,7 @@
         let hush = self.hush();
         let (Some(l), c) = (self.lookups.get_mut(&lkp.0), &mut self.caches[cache]) else { return };
         if c.out == 0 {
-            c.owes_since = self.now;
+            (c.owes_since, c.hushed) = (self.now, false);
         }
         c.out += 1;
         c.credit = c.credit.saturating_sub(1000);
@@ -652,8 +653,12 @@
         if self.caches[cache].owes_since > sent || !self.silent(cache) {
             return out.wake(token, hush + 1);
         }
+        let first = !std::mem::replace(&mut self.caches[cache].hushed, true);
         // Nothing has come from this cache since the shot: guards against caches that hang, vanish or pause.
-        self.judge(cache, Ending::TimedOut, true, out);
+        // One silence is one failure, however many shots it holds up: a pause is no hang.
+        if first {
+            self.judge(cache, Ending::TimedOut, true, out);
+        }
         if self.house.second_copies {
             self.move_on(lkp, false, out);
         } else if self.house.withdrawals && self.spare >= 10 {
@@ -702,7 +707,7 @@
         let silent = c.owes_since <= sent;
         c.out -= 1;
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full) {
-            c.owes_since = router.now;
+            (c.owes_since, c.hushed) = (router.now, false);
         }
         let from_cache = Some(cache) != router.origin;
         if ending == Ending::Resolved {
