--- a/crates/benchlink/src/house.rs
+++ b/crates/benchlink/src/house.rs
@@ -140,8 +140,10 @@
     rules.insert("watched".into(), u8::from(watched).to_string());
     if let Some(info) = options.get("familyInfo").filter(|v| !v.is_null()) {
         let info = object(info, "setting familyInfo")?;
+        let mode = info.get("mode").and_then(Value::as_str);
+        rules.insert("through".into(), u8::from(mode == Some("through")).to_string());
         let kind = info.get("originKind").and_then(Value::as_i64).filter(|k| *k >= 0);
-        if let Some(kind) = kind.filter(|_| info.get("mode").and_then(Value::as_str) == Some("aside")) {
+        if let Some(kind) = kind.filter(|_| mode == Some("aside")) {
             rules.insert("origin kind".into(), kind.to_string());
         }
     }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -7,7 +7,7 @@
 //! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
 
 use crate::plain::{Cache, Carrier, Ending, Entry, Lkp, Standing, Tenths};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 const SECOND: Tenths = 10_000;
 const CACHE_TOKEN: u64 = 1 << 61; // wakes below this are lookups, from here on caches
@@ -99,6 +99,7 @@
     cold_share: f64,
     cold_time: Tenths,
     watched: bool,
+    through: bool, // caches fetch for themselves
     origin_kind: Option<usize>,
     namespaces: Vec<Namespace>,
 }
@@ -131,6 +132,7 @@
             cold_share: num("cold share", 1.0),
             cold_time: num("cold time", 0.0) as Tenths,
             watched: num("watched", 0.0) > 0.0,
+            through: num("through", 0.0) > 0.0,
             origin_kind: (!word("origin kind").is_empty()).then(|| num("origin kind", 0.0) as usize),
             namespaces: (0..num("namespaces", 0.0) as usize).map(namespace).collect(),
         }
@@ -193,6 +195,7 @@
     out: bool,
     may_have_run: bool,
     bad: bool,
+    fresh: bool, // the cache will likely ask the origin
 }
 
 #[derive(Default)]
@@ -230,6 +233,8 @@
     fetches: HashMap<u64, Vec<Lkp>>,
     times: Tally,
     origin_times: Tally,
+    beyond: Known, // the origin behind caches that fetch for themselves: only its room is used
+    kept: [HashSet<u64>; 2], // keys resolved lately, and before that
     faded: Tenths,
     spare: u64,
     watch_fails: u32,
@@ -238,7 +243,8 @@
 impl Router {
     pub fn new(seed: u64, said: &BTreeMap<String, String>) -> Router {
         let (house, chance) = (HouseRules::read(said), Chance(mixed(seed) | 1));
-        Router { house, chance, spare: 50, ..Router::default() }
+        let beyond = Known { room: 800, ..Known::default() };
+        Router { house, chance, beyond, spare: 50, ..Router::default() }
     }
 
     pub fn clock(&mut self, now: Tenths) {
@@ -247,6 +253,11 @@
         while self.faded + SECOND <= now {
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
             self.times.fade();
+            // Keys are remembered for 4 to 8 s, about as long as a small cache keeps what nobody asks for.
+            if (self.faded / SECOND).is_multiple_of(4) {
+                self.kept.swap(0, 1);
+                self.kept[0].clear();
+            }
             self.origin_times.fade();
             for c in &mut self.caches {
                 c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
@@ -457,11 +468,20 @@
         lkp
     }
 
+    fn fresh(&self, l: &Lookup) -> bool {
+        self.house.through && (l.write || !self.kept.iter().any(|k| k.contains(&l.key)))
+    }
+
     fn place(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         let l = &self.lookups[&lkp.0];
         if l.write && self.house.origin_kind.is_some() {
             return self.ask_origin(lkp, out);
         }
+        // Guards the origin behind the caches: when fetches fail or come late, lookups for keys that no cache
+        // is known to hold are deferred, and those that are held go on being answered.
+        if self.fresh(l) && self.beyond.out * 100 + l.luck >= self.beyond.room {
+            return self.give_up(lkp, out);
+        }
         let rounds = [(true, 2), (false, 2), (true, 1), (false, 1), (true, 0), (false, 0)];
         match rounds.into_iter().find_map(|(home, care)| self.walk(home, l, care)) {
             Some(cache) => self.shoot(lkp, cache, out),
@@ -494,7 +514,8 @@
     }
 
     fn shoot(&mut self, lkp: Lkp, cache: Cache, out: &mut dyn Carrier) {
-        let hush = self.hush();
+        let (hush, fresh) = (self.hush(), self.lookups.get(&lkp.0).is_some_and(|l| self.fresh(l)));
+        self.beyond.out += u64::from(fresh);
         let (Some(l), c) = (self.lookups.get_mut(&lkp.0), &mut self.caches[cache]) else { return };
         if c.out == 0 {
             (c.owes_since, c.hushed) = (self.now, false);
@@ -503,7 +524,7 @@
         c.credit = c.credit.saturating_sub(1000);
         l.waits = false;
         let (sent, company) = (self.now, c.out);
-        l.shots.push(Shot { cache, sent, company, out: true, may_have_run: true, bad: false });
+        l.shots.push(Shot { cache, sent, company, out: true, may_have_run: true, bad: false, fresh });
         out.shoot(lkp, cache, l.expires);
         if Some(cache) != self.origin {
             out.wake(lkp.0, hush + 1);
@@ -695,6 +716,7 @@
         shot: usize,
         ending: Ending,
         took: Tenths,
+        hit: bool,
         finished: bool,
         out: &mut dyn Carrier,
     ) {
@@ -704,7 +726,7 @@
         s.out = false;
         s.may_have_run = !not_run.contains(&ending);
         s.bad = ending != Ending::Miss;
-        let (cache, sent, company) = (s.cache, s.sent, s.company);
+        let (cache, sent, company, fresh) = (s.cache, s.sent, s.company, s.fresh);
         let c = &mut router.caches[cache];
         let silent = c.owes_since <= sent;
         c.out -= 1;
@@ -716,10 +738,27 @@
             if from_cache { router.times.add(took) } else { router.origin_times.add(took) }
         }
         router.house.resize(c, ending, took, company, l.ns, from_cache);
+        if fresh {
+            let company = router.beyond.out;
+            router.beyond.out -= 1;
+            match ending {
+                Ending::Error => {
+                    router.house.resize(&mut router.beyond, Ending::TimedOut, Tenths::MAX, 0, l.ns, false)
+                }
+                _ if hit => {}
+                _ => router.house.resize(&mut router.beyond, ending, took, company, l.ns, false),
+            }
+        }
+        if ending == Ending::Resolved {
+            router.kept[0].insert(l.key);
+        }
         let key = (l.leads && Some(cache) == router.origin).then_some(l.key);
         l.leads &= key.is_none();
         let over = l.over;
-        router.judge(cache, ending, silent, out);
+        // An error on a fetch may be the origin's: it says nothing of the cache.
+        if !(fresh && ending == Ending::Error) {
+            router.judge(cache, ending, silent, out);
+        }
         if from_cache && matches!(ending, Ending::Resolved | Ending::Miss) {
             router.give_credit(cache, ending == Ending::Resolved);
         }
