--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -167,10 +167,10 @@
             "DONE" => {
                 let (shot, how) = (whole(event, "trial")?, ending(text(event, "reason")?)?);
                 let took = whole(event, "latencyNs")? / NS_PER_TENTH;
-                let hit = whole_or(event, "info", 0)? == 1;
+                whole_or(event, "info", 0)?;
                 let finished = flag(event, "finished")?;
                 if let Some((_, lkp)) = lkp {
-                    lkp.shot_ended(router, shot as usize, how, took, hit, finished, pen);
+                    lkp.shot_ended(router, shot as usize, how, took, finished, pen);
                 }
             }
             "ACCEPTED" => {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -243,7 +243,7 @@
 impl Router {
     pub fn new(seed: u64, said: &BTreeMap<String, String>) -> Router {
         let (house, chance) = (HouseRules::read(said), Chance(mixed(seed) | 1));
-        let beyond = Known { room: 800, ..Known::default() };
+        let beyond = Known { room: 3000, ..Known::default() };
         Router { house, chance, beyond, spare: 50, ..Router::default() }
     }
 
@@ -716,7 +716,6 @@
         shot: usize,
         ending: Ending,
         took: Tenths,
-        hit: bool,
         finished: bool,
         out: &mut dyn Carrier,
     ) {
@@ -739,15 +738,13 @@
         }
         router.house.resize(c, ending, took, company, l.ns, from_cache);
         if fresh {
-            let company = router.beyond.out;
             router.beyond.out -= 1;
-            match ending {
-                Ending::Error => {
-                    router.house.resize(&mut router.beyond, Ending::TimedOut, Tenths::MAX, 0, l.ns, false)
-                }
-                _ if hit => {}
-                _ => router.house.resize(&mut router.beyond, ending, took, company, l.ns, false),
-            }
+            // Lateness is no sign here, as long work is late by itself: a fetch that fails is.
+            router.beyond.room = match ending {
+                Ending::Error => (router.beyond.room * 7 / 8).max(10),
+                Ending::Resolved => (router.beyond.room + 16).min(10_000),
+                _ => router.beyond.room,
+            };
         }
         if ending == Ending::Resolved {
             router.kept[0].insert(l.key);
