--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -739,9 +739,12 @@
         router.house.resize(c, ending, took, company, l.ns, from_cache);
         if fresh {
             router.beyond.out -= 1;
-            // Lateness is no sign here, as long work is late by itself: a fetch that fails is.
+            // Long work is late by itself, so a fetch counts against the origin when it fails or came in vain.
+            let vain = took >= router.house.namespaces[l.ns].target;
             router.beyond.room = match ending {
-                Ending::Error => (router.beyond.room * 7 / 8).max(10),
+                Ending::Error | Ending::Resolved | Ending::TimedOut if vain || ending == Ending::Error => {
+                    (router.beyond.room * 7 / 8).max(10)
+                }
                 Ending::Resolved => (router.beyond.room + 16).min(10_000),
                 _ => router.beyond.room,
             };
