--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -737,18 +737,22 @@
             if from_cache { router.times.add(took) } else { router.origin_times.add(took) }
         }
         router.house.resize(c, ending, took, company, l.ns, from_cache);
-        if fresh {
-            router.beyond.out -= 1;
+        router.beyond.out -= u64::from(fresh);
+        let failed = router.house.through && ending == Ending::Error;
+        if fresh || failed {
             // Long work is late by itself, so a fetch counts against the origin when it fails or came in vain.
             let vain = took >= router.house.namespaces[l.ns].target;
             router.beyond.room = match ending {
-                Ending::Error | Ending::Resolved | Ending::TimedOut if vain || ending == Ending::Error => {
-                    (router.beyond.room * 7 / 8).max(10)
-                }
+                _ if failed => (router.beyond.room * 7 / 8).max(10),
+                Ending::Resolved | Ending::TimedOut if vain => (router.beyond.room * 7 / 8).max(10),
                 Ending::Resolved => (router.beyond.room + 16).min(10_000),
                 _ => router.beyond.room,
             };
         }
+        if failed {
+            // Guards against copies gone void: the key is not kept after all.
+            router.kept.iter_mut().for_each(|k| k.retain(|key| *key != l.key));
+        }
         if ending == Ending::Resolved {
             router.kept[0].insert(l.key);
         }
