--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -744,7 +744,7 @@
             let vain = took >= router.house.namespaces[l.ns].target;
             router.beyond.room = match ending {
                 _ if failed => (router.beyond.room * 7 / 8).max(10),
-                Ending::Resolved | Ending::TimedOut if vain => (router.beyond.room * 31 / 32).max(10),
+                Ending::Resolved | Ending::TimedOut if vain => (router.beyond.room * 7 / 8).max(10),
                 Ending::Resolved => (router.beyond.room + 4).min(10_000),
                 _ => router.beyond.room,
             };
