--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -117,7 +117,7 @@
 }
 
 impl Desk {
-    pub fn open(up: &Object) -> Read<Desk> {
+    pub fn open(up: &Object, actions: &mut Vec<Value>) -> Read<Desk> {
         let seed = whole(up, "randomSeed")?;
         let options = up.get("options").ok_or("field options: missing, expected an object")?;
         let house = house::read(object(options, "field options")?)?;
@@ -125,10 +125,12 @@
         house.zones.iter().for_each(|z| {
             zones.index_of(z);
         });
+        let caches = Door::default();
+        let pen = &mut Pen { caches: &caches, requests: &HashMap::new(), actions };
         Ok(Desk {
-            router: Router::new(seed, &house.rules),
+            router: Router::new(seed, &house.rules, pen),
             house,
-            caches: Door::default(),
+            caches,
             zones,
             lookups: HashMap::new(),
             requests: HashMap::new(),
@@ -259,8 +261,7 @@
         let pen = &mut Pen { caches: &self.caches, requests: &self.requests, actions };
         match scope {
             "Partial" => self.router.list_changes(&entries, pen),
-            "Complete" => self.router.list_whole(&entries, pen),
-            "Persisted" => self.router.list_saved(&entries, pen),
+            "Complete" | "Persisted" => self.router.list_whole(&entries, pen),
             "Error" => self.router.watch_failed(pen),
             other => return Err(format!("field scope: expected a kind of list, got \"{other}\"")),
         }
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -57,7 +57,7 @@
         let proxy = proxy.ok_or("field proxy: missing, expected a whole number")?;
         match kind {
             "UP" => {
-                self.desks.insert(proxy, Some(Desk::open(event)?));
+                self.desks.insert(proxy, Some(Desk::open(event, actions)?));
                 return Ok(());
             }
             "CRASH_NOW" => actions.clear(),
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -55,3 +55,62 @@
     fn watch(&mut self);
     fn log(&mut self, text: &str);
 }
+
+/// Multiply-with-carry, after Marsaglia.
+#[derive(Default)]
+pub(crate) struct Chance(pub u64);
+
+impl Chance {
+    pub fn below(&mut self, n: u64) -> u64 {
+        self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
+        ((self.0 & 0xffff_ffff) * n.max(1)) >> 32
+    }
+}
+
+/// FNV-1a with a closing mix, so that names that differ in one letter land far apart on the ring.
+pub(crate) fn point(name: &str, salt: u64) -> u64 {
+    let seen = name
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    mixed(seen ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+pub(crate) fn mixed(mut h: u64) -> u64 {
+    h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    h ^ (h >> 33)
+}
+
+/// A coarse histogram of times: a bin for each doubling from 0.8 ms up, halved once a second.
+#[derive(Clone, Default)]
+pub(crate) struct Tally([u32; 14]);
+
+impl Tally {
+    pub fn add(&mut self, took: Tenths) {
+        self.0[(took / 8 + 1).ilog2().min(13) as usize] += 4; // fours, so that a single one outlives two halvings
+    }
+
+    pub fn fade(&mut self) {
+        self.0.iter_mut().for_each(|n| *n /= 2);
+    }
+
+    /// The mean, with `usual` counted as one more measurement.
+    pub fn mean(&self, usual: Tenths) -> Tenths {
+        let sum: u64 = (0..14).map(|i| u64::from(self.0[i]) * (12 << i)).sum();
+        let count: u64 = self.0.iter().map(|n| u64::from(*n)).sum();
+        (sum + 4 * usual) / (count + 4)
+    }
+
+    /// The time that nine in ten stayed under, or `usual` where too few were measured.
+    pub fn ninth(&self, usual: Tenths) -> Tenths {
+        let count: u32 = self.0.iter().sum();
+        let mut left = count / 10;
+        for i in (0..14).rev() {
+            if count >= 20 && self.0[i] > left {
+                return 16 << i;
+            }
+            left -= self.0[i].min(left);
+        }
+        usual
+    }
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,89 +1,23 @@
 //! Every decision of chalkwalk stands in this file; `plain.rs` holds the types it is called with.
 //!
-//! One `Router` is one proxy. Set its clock with `clock`, hand it the list of caches with `list_saved`,
-//! `list_whole`, `list_changes` or `watch_failed`, and each lookup with `take`, which returns a handle:
+//! One `Router` is one proxy. Set its clock with `clock`, hand it the list of caches with `list_whole`,
+//! `list_changes` or `watch_failed`, and each lookup with `take`, which returns a handle:
 //! call `lkp.route(..)` once, then `lkp.shot_ended(..)`, `lkp.answer_begun(..)` and `lkp.client_left(..)`
 //! as things happen to it. `woken` and `probed` bring back what the router asked for. What it wants done
 //! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
 
-use crate::plain::{Cache, Carrier, Ending, Entry, Lkp, Standing, Tenths};
+use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Lkp, Standing, Tally, Tenths, mixed, point};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 const SECOND: Tenths = 10_000;
 const CACHE_TOKEN: u64 = 1 << 61; // wakes below this are lookups, from here on caches
 const WATCH_TOKEN: u64 = 1 << 62;
 
-/// Multiply-with-carry, after Marsaglia.
-#[derive(Default)]
-struct Chance(u64);
-
-impl Chance {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
-        ((self.0 & 0xffff_ffff) * n.max(1)) >> 32
-    }
-}
-
-/// FNV-1a with a closing mix, so that names that differ in one letter land far apart on the ring.
-fn point(name: &str, salt: u64) -> u64 {
-    let seen = name
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
-    mixed(seen ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15))
-}
-
-fn mixed(mut h: u64) -> u64 {
-    h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    h ^ (h >> 33)
-}
-
-/// A coarse histogram of times: a bin for each doubling from 0.8 ms up, halved once a second.
-#[derive(Clone, Default)]
-struct Tally([u32; 14]);
-
-impl Tally {
-    fn add(&mut self, took: Tenths) {
-        self.0[(took / 8 + 1).ilog2().min(13) as usize] += 4; // fours, so that a single one outlives two halvings
-    }
-
-    fn fade(&mut self) {
-        self.0.iter_mut().for_each(|n| *n /= 2);
-    }
-
-    /// The mean, with `usual` counted as one more measurement.
-    fn mean(&self, usual: Tenths) -> Tenths {
-        let sum: u64 = (0..14).map(|i| u64::from(self.0[i]) * (12 << i)).sum();
-        let count: u64 = self.0.iter().map(|n| u64::from(*n)).sum();
-        (sum + 4 * usual) / (count + 4)
-    }
-
-    /// The time that nine in ten stayed under, or `usual` where too few were measured.
-    fn ninth(&self, usual: Tenths) -> Tenths {
-        let count: u32 = self.0.iter().sum();
-        let mut left = count / 10;
-        for i in (0..14).rev() {
-            if count >= 20 && self.0[i] > left {
-                return 16 << i;
-            }
-            left -= self.0[i].min(left);
-        }
-        usual
-    }
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Repeats {
-    Replayable,
-    Tagged,
-    SingleUse,
-}
-
 struct Namespace {
     target: Tenths,
     late_counts: bool,
-    repeats: Repeats,
-    group: String,
+    repeats: String, // replayable, tagged or single-use
+    group: String,   // which caches drop repeats of a tagged one: all, of one zone, of one cell
     window: Tenths,
 }
 
@@ -113,11 +47,7 @@
             Namespace {
                 target: num(&own("target time"), 1e4) as Tenths,
                 late_counts: num(&own("late utility"), 0.0) > 0.0,
-                repeats: match word(&own("repeats")) {
-                    "replayable" => Repeats::Replayable,
-                    "tagged" => Repeats::Tagged,
-                    _ => Repeats::SingleUse,
-                },
+                repeats: word(&own("repeats")).to_string(),
                 group: word(&own("group")).to_string(),
                 window: num(&own("window"), 0.0) as Tenths,
             }
@@ -156,18 +86,6 @@
     }
 }
 
-#[derive(Clone, Copy, Default, PartialEq)]
-enum Trust {
-    #[default]
-    Full,
-    Left {
-        cut_off: bool,
-    },
-    Trial {
-        passed: u32,
-    },
-}
-
 /// What this proxy knows of one cache (or of the origin).
 #[derive(Default)]
 struct Known {
@@ -178,14 +96,13 @@
     born: Tenths,
     out: u64,           // own shots in flight
     owes_since: Tenths, // last answer, or the first shot since nothing was out
-    good: u32,
-    bad: u32,
-    bad_run: u32,
-    hushed: bool, // the present silence was counted
-    trust: Trust,
-    stay: Tenths, // how long it is left alone next
-    room: u64,    // hundredths of a shot that it takes at once without being late
-    credit: u64,  // while it is cold: thousandths of a shot that it may still be sent
+    hushed: bool,       // the present silence was counted
+    doubt: u64,         // up by 3 for a failure, down by 1 for an answer
+    left: bool,
+    cut_off: bool, // what it was left for was its connection
+    stay: Tenths,  // how long it is left alone next
+    room: u64,     // hundredths of a shot that it takes at once without being late
+    credit: u64,   // while it is cold: thousandths of a shot that it may still be sent
 }
 
 struct Shot {
@@ -233,7 +150,8 @@
     fetches: HashMap<u64, Vec<Lkp>>,
     times: Tally,
     origin_times: Tally,
-    beyond: Known, // the origin behind caches that fetch for themselves: only its room is used
+    fetches_out: u64, // shots that make a cache ask the origin, and how many hundredths it may be
+    fetch_room: u64,
     kept: [HashSet<u64>; 2], // keys resolved lately, and before that
     faded: Tenths,
     spare: u64,
@@ -241,10 +159,12 @@
 }
 
 impl Router {
-    pub fn new(seed: u64, said: &BTreeMap<String, String>) -> Router {
+    pub fn new(seed: u64, said: &BTreeMap<String, String>, out: &mut dyn Carrier) -> Router {
         let (house, chance) = (HouseRules::read(said), Chance(mixed(seed) | 1));
-        let beyond = Known { room: 3000, ..Known::default() };
-        Router { house, chance, beyond, spare: 50, ..Router::default() }
+        if house.watched {
+            out.watch();
+        }
+        Router { house, chance, fetch_room: 3000, spare: 50, ..Router::default() }
     }
 
     pub fn clock(&mut self, now: Tenths) {
@@ -261,23 +181,13 @@
             self.origin_times.fade();
             for c in &mut self.caches {
                 c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
-                (c.good, c.bad) = (c.good / 2, c.bad / 2);
-                if c.trust == Trust::Full {
-                    c.stay -= c.stay / 8;
-                }
+                c.stay -= if c.left { 0 } else { c.stay / 8 };
             }
         }
     }
 
     // ---- the list of caches ----
 
-    pub fn list_saved(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
-        self.list_whole(entries, out);
-        if self.house.watched {
-            out.watch();
-        }
-    }
-
     pub fn list_whole(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
         self.caches.iter_mut().for_each(|c| c.standing = Standing::Gone);
         self.list_changes(entries, out);
@@ -295,7 +205,7 @@
             let c = &mut self.caches[e.cache];
             if e.born > c.born {
                 // A new process under an old id: what was held against the old one is void.
-                (c.good, c.bad, c.bad_run, c.stay, c.trust, c.credit) = (0, 0, 0, 0, Trust::Full, 1000);
+                (c.doubt, c.left, c.stay, c.credit) = (0, false, 0, 1000);
             }
             c.id = e.id.to_string();
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born);
@@ -378,27 +288,28 @@
         }
     }
 
-    /// Whether the rules on repeats let this lookup go to that cache now.
-    fn may_shoot(&self, l: &Lookup, cache: Cache) -> bool {
+    /// Whether a repeat of the lookup, at that cache or (for `None`) anywhere, does no harm until `then`.
+    fn harmless(&self, l: &Lookup, cache: Option<Cache>, then: Tenths) -> bool {
         let ns = &self.house.namespaces[l.ns];
-        if l.shots.len() >= self.house.most_shots || (l.out() && !self.house.second_copies) {
-            return false;
-        }
-        l.shots.iter().filter(|s| s.may_have_run).all(|s| match ns.repeats {
-            Repeats::Replayable => true,
-            Repeats::SingleUse => false,
-            Repeats::Tagged => {
-                let (a, b) = (&self.caches[s.cache], &self.caches[cache]);
-                let together = match ns.group.as_str() {
-                    "all" => true,
-                    "zone" => a.zone == b.zone,
-                    _ => a.zone == b.zone && a.cell == b.cell,
-                };
-                together && self.now < s.sent + ns.window
-            }
+        l.shots.iter().filter(|s| s.may_have_run).all(|s| {
+            let together = |same: fn(&Known, &Known) -> bool| {
+                cache.is_some_and(|c| same(&self.caches[s.cache], &self.caches[c]))
+            };
+            let drops_it = match ns.group.as_str() {
+                "all" => true,
+                "zone" => together(|a, b| a.zone == b.zone),
+                _ => together(|a, b| a.zone == b.zone && a.cell == b.cell),
+            };
+            ns.repeats == "replayable" || (ns.repeats == "tagged" && drops_it && then < s.sent + ns.window)
         })
     }
 
+    fn may_shoot(&self, l: &Lookup, cache: Cache) -> bool {
+        l.shots.len() < self.house.most_shots
+            && (self.house.second_copies || !l.out())
+            && self.harmless(l, Some(cache), self.now)
+    }
+
     /// Walks a ring from the key's point, passing caches at the cap. Care 2 also passes caches that are left,
     /// silent, or would need over half of the time that is left; care 1 allows nine tenths of that time;
     /// care 0 asks a cache that is left rather than none.
@@ -417,18 +328,13 @@
         }
         let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
         let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
-        let doubted = |c: &&Known| matches!(c.trust, Trust::Left { cut_off: false });
         let known = || self.caches.iter().filter(|c| c.standing == Standing::Ready);
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
-        let all_doubted = known().filter(doubted).count() * 2 > known().count();
+        let all_left = known().filter(|c| c.left && !c.cut_off).count() * 2 > known().count();
         zone.into_iter().find(|&cache| {
             let c = &self.caches[cache];
-            let trusted = match c.trust {
-                Trust::Full => true,
-                Trust::Left { cut_off } => care == 0 || (all_doubted && !cut_off),
-                Trust::Trial { .. } => c.out == 0,
-            };
-            trusted
+            let trusted = !c.left && (c.doubt < 6 || c.out == 0);
+            (trusted || care == 0 || (all_left && !c.cut_off))
                 && c.out < cap
                 && (care == 0 || !self.silent(cache))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
@@ -462,8 +368,8 @@
         self.spare = (self.spare + 2).min(400);
         let rules = &self.house.namespaces[ns];
         let useful = if rules.late_counts { expires } else { expires.min(self.now + rules.target) };
-        let lookup =
-            Lookup { ns, key: point(key, 0), write, expires, useful_until: useful, ..Lookup::default() };
+        let (key, luck) = (point(key, 0), 0);
+        let lookup = Lookup { ns, key, write, expires, useful_until: useful, luck, ..Lookup::default() };
         self.lookups.insert(lkp.0, lookup);
         lkp
     }
@@ -479,7 +385,7 @@
         }
         // Guards the origin behind the caches: when fetches fail or come late, lookups for keys that no cache
         // is known to hold are deferred, and those that are held go on being answered.
-        if self.fresh(l) && self.beyond.out * 100 + l.luck >= self.beyond.room {
+        if self.fresh(l) && self.fetches_out * 100 + l.luck >= self.fetch_room {
             return self.give_up(lkp, out);
         }
         let rounds = [(true, 2), (false, 2), (true, 1), (false, 1), (true, 0), (false, 0)];
@@ -515,7 +421,7 @@
 
     fn shoot(&mut self, lkp: Lkp, cache: Cache, out: &mut dyn Carrier) {
         let (hush, fresh) = (self.hush(), self.lookups.get(&lkp.0).is_some_and(|l| self.fresh(l)));
-        self.beyond.out += u64::from(fresh);
+        self.fetches_out += u64::from(fresh);
         let (Some(l), c) = (self.lookups.get_mut(&lkp.0), &mut self.caches[cache]) else { return };
         if c.out == 0 {
             (c.owes_since, c.hushed) = (self.now, false);
@@ -543,19 +449,12 @@
 
     /// The final answer, at once. A deferral only where a further try is harmless.
     fn give_up(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
-        let l = &self.lookups[&lkp.0];
-        if l.out() {
+        if self.lookups[&lkp.0].out() {
             return;
         }
-        let ns = &self.house.namespaces[l.ns];
-        let harmless = l.shots.iter().filter(|s| s.may_have_run).all(|s| match ns.repeats {
-            Repeats::Replayable => true,
-            Repeats::Tagged => ns.group == "all" && self.now < s.sent + ns.window,
-            Repeats::SingleUse => false,
-        });
-        if harmless {
-            // Half a second to one and a half, spread so that those sent away do not return together.
-            let back_in = (SECOND / 2 + self.chance.below(SECOND)).min(self.house.longest_stay_away);
+        // Half a second to one and a half, spread so that those sent away do not return together.
+        let back_in = (SECOND / 2 + self.chance.below(SECOND)).min(self.house.longest_stay_away);
+        if self.harmless(&self.lookups[&lkp.0], None, self.now + back_in) {
             out.defer(lkp, back_in);
         } else {
             out.abandon(lkp);
@@ -592,60 +491,39 @@
 
     // ---- health ----
 
-    fn judge(&mut self, cache: Cache, ending: Ending, silent: bool, out: &mut dyn Carrier) {
+    /// Doubt grows where more than one in four fails, and is enough after three failures in a row or at the
+    /// first sign that nothing listens: a fast failer holds little, never meets the cap and would keep its keys.
+    fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
         let c = &mut self.caches[cache];
-        match ending {
-            Ending::Resolved | Ending::Miss => (c.good, c.bad_run) = (c.good + 1, 0),
-            Ending::TimedOut if !silent => return,
-            Ending::Full | Ending::Withdrawn | Ending::Unsent => return,
-            _ => (c.bad, c.bad_run) = (c.bad + 1, c.bad_run + 1),
-        }
-        let cut_off = matches!(ending, Ending::Unreachable | Ending::Broken);
-        if Some(cache) == self.origin {
-            return;
-        }
-        if let Trust::Trial { passed } = c.trust {
-            // Two in a row: a cache that fails half of its lookups passes one trial in four.
-            if c.bad_run == 0 && passed == 0 {
-                c.trust = Trust::Trial { passed: 1 };
-            } else if c.bad_run == 0 {
-                (c.trust, c.good, c.bad) = (Trust::Full, 2, 0);
-                out.log(&format!("cache {} taken back", c.id));
-            }
-        }
-        // Left at the first sign that nothing listens, after three failures in a row, or when a third of what
-        // it answered lately failed: a fast failer holds little and would otherwise keep its keys.
-        let on_trial = matches!(c.trust, Trust::Trial { .. });
-        let failing = c.bad_run >= 3 || (c.bad >= 4 && c.bad * 2 >= c.good);
-        if failing || ((cut_off || on_trial) && c.bad_run > 0) {
-            self.leave(cache, cut_off, out);
+        c.cut_off = matches!(ending, Ending::Unreachable | Ending::Broken);
+        c.doubt = match ending {
+            Ending::Resolved | Ending::Miss => c.doubt.saturating_sub(1),
+            Ending::Full | Ending::Withdrawn | Ending::Unsent => c.doubt,
+            _ => c.doubt + if c.cut_off { 9 } else { 3 },
+        };
+        if c.doubt >= 9 && !c.left && Some(cache) != self.origin {
+            self.leave(cache, out);
         }
     }
 
-    fn leave(&mut self, cache: Cache, cut_off: bool, out: &mut dyn Carrier) {
+    fn leave(&mut self, cache: Cache, out: &mut dyn Carrier) {
         let c = &mut self.caches[cache];
-        if matches!(c.trust, Trust::Left { .. }) {
-            return;
-        }
         // From half a second, doubled at each new leave up to eight: short troubles cost little, long ones too.
-        c.stay = (c.stay * 2).clamp(SECOND / 2, 8 * SECOND);
-        if c.trust == Trust::Full {
-            out.log(&format!("cache {} left", c.id));
-        }
-        c.trust = Trust::Left { cut_off };
-        c.bad_run = 0;
+        (c.left, c.stay) = (true, (c.stay * 2).clamp(SECOND / 2, 8 * SECOND));
+        out.log(&format!("cache {} left", c.id));
         let wait = c.stay + self.chance.below(c.stay / 4);
         out.wake(CACHE_TOKEN + cache as u64, wait);
     }
 
+    /// Tries a cache again that was left. Doubt stays so high that it gets one shot at a time until two were
+    /// answered, and that one more failure has it left again.
     pub fn probed(&mut self, cache: Cache, answered: bool, out: &mut dyn Carrier) {
-        let Some(c) = self.caches.get_mut(cache) else { return };
-        if let Trust::Left { cut_off } = c.trust {
-            c.trust = Trust::Trial { passed: 0 };
-            if !answered {
-                self.leave(cache, cut_off, out);
-            }
+        let Some(c) = self.caches.get_mut(cache).filter(|c| c.left) else { return };
+        if !answered {
+            return self.leave(cache, out);
         }
+        (c.left, c.doubt) = (false, 7);
+        out.log(&format!("cache {} tried again", c.id));
     }
 
     pub fn woken(&mut self, token: u64, out: &mut dyn Carrier) {
@@ -680,7 +558,7 @@
         // Nothing has come from this cache since the shot: guards against caches that hang, vanish or pause.
         // One silence is one failure, however many shots it holds up: a pause is no hang.
         if first {
-            self.judge(cache, Ending::TimedOut, true, out);
+            self.judge(cache, Ending::TimedOut, out);
         }
         if self.house.second_copies {
             self.move_on(lkp, false, out);
@@ -737,21 +615,25 @@
             if from_cache { router.times.add(took) } else { router.origin_times.add(took) }
         }
         router.house.resize(c, ending, took, company, l.ns, from_cache);
-        router.beyond.out -= u64::from(fresh);
+        router.fetches_out -= u64::from(fresh);
         let failed = router.house.through && ending == Ending::Error;
         if fresh || failed {
             // Long work is late by itself, so a fetch counts against the origin when it fails or came in vain.
             let vain = took >= router.house.namespaces[l.ns].target;
-            router.beyond.room = match ending {
-                _ if failed => (router.beyond.room * 7 / 8).max(10),
-                Ending::Resolved | Ending::TimedOut if vain => (router.beyond.room * 7 / 8).max(10),
-                Ending::Resolved => (router.beyond.room + 4).min(10_000),
-                _ => router.beyond.room,
+            router.fetch_room = match ending {
+                Ending::Resolved if !vain => (router.fetch_room + 4).min(10_000),
+                Ending::Resolved | Ending::TimedOut | Ending::Error if failed || vain => {
+                    router.fetch_room * 7 / 8
+                }
+                _ => router.fetch_room,
             };
+            router.fetch_room = router.fetch_room.max(10);
         }
         if failed {
             // Guards against copies gone void: the key is not kept after all.
-            router.kept.iter_mut().for_each(|k| k.retain(|key| *key != l.key));
+            for kept in &mut router.kept {
+                kept.remove(&l.key);
+            }
         }
         if ending == Ending::Resolved {
             router.kept[0].insert(l.key);
@@ -760,8 +642,8 @@
         l.leads &= key.is_none();
         let over = l.over;
         // An error on a fetch may be the origin's: it says nothing of the cache.
-        if !(fresh && ending == Ending::Error) {
-            router.judge(cache, ending, silent, out);
+        if !(fresh && ending == Ending::Error || ending == Ending::TimedOut && !silent) {
+            router.judge(cache, ending, out);
         }
         if from_cache && matches!(ending, Ending::Resolved | Ending::Miss) {
             router.give_credit(cache, ending == Ending::Resolved);
