--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -368,7 +368,7 @@
         self.spare = (self.spare + 2).min(400);
         let rules = &self.house.namespaces[ns];
         let useful = if rules.late_counts { expires } else { expires.min(self.now + rules.target) };
-        let (key, luck) = (point(key, 0), 0);
+        let (key, luck) = (point(key, 0), self.chance.below(100));
         let lookup = Lookup { ns, key, write, expires, useful_until: useful, luck, ..Lookup::default() };
         self.lookups.insert(lkp.0, lookup);
         lkp
