--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -328,13 +328,18 @@
         }
         let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
         let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
-        let known = || self.caches.iter().filter(|c| c.standing == Standing::Ready);
+        let known = || {
+            (0..self.caches.len())
+                .filter(|c| self.ready(*c) && Some(*c) != self.origin)
+                .map(|c| &self.caches[c])
+        };
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let all_left = known().filter(|c| c.left && !c.cut_off).count() * 2 > known().count();
+        let none_trusted = care == 0 && known().all(|c| c.left);
         zone.into_iter().find(|&cache| {
             let c = &self.caches[cache];
             let trusted = !c.left && (c.doubt < 6 || c.out == 0);
-            (trusted || care == 0 || (all_left && !c.cut_off))
+            (trusted || none_trusted || (all_left && !c.cut_off))
                 && c.out < cap
                 && (care == 0 || !self.silent(cache))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
