--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -19,8 +19,6 @@
     repeats: String, // replayable, tagged or single-use
     group: String,   // which caches drop repeats of a tagged one: all, of one zone, of one cell
     window: Tenths,
-    ended: u64, // lately, in eighths, and how many of these in time
-    in_time: u64,
 }
 
 /// What the house allows, read once when the router starts.
@@ -52,8 +50,6 @@
                 repeats: word(&own("repeats")).to_string(),
                 group: word(&own("group")).to_string(),
                 window: num(&own("window"), 0.0) as Tenths,
-                ended: 0,
-                in_time: 0,
             }
         };
         HouseRules {
@@ -183,9 +179,6 @@
                 self.kept[0].clear();
             }
             self.origin_times.fade();
-            for ns in &mut self.house.namespaces {
-                (ns.ended, ns.in_time) = (ns.ended * 3 / 4, ns.in_time * 3 / 4);
-            }
             for c in &mut self.caches {
                 c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
@@ -295,14 +288,6 @@
         }
     }
 
-    /// The part of a cache's room, in hundredths, that a namespace may fill: less for one that is answered in
-    /// time more often than the worst-served. Guards against patient namespaces crowding out the urgent.
-    fn part(&self, ns: usize) -> u64 {
-        let served = |n: &Namespace| (n.in_time * 100 + 3000) / (n.ended + 30);
-        let worst = self.house.namespaces.iter().map(served).min().unwrap_or(100);
-        (worst * 100 / served(&self.house.namespaces[ns]).max(1)).max(70)
-    }
-
     /// Whether a repeat of the lookup, at that cache or (for `None`) anywhere, does no harm until `then`.
     fn harmless(&self, l: &Lookup, cache: Option<Cache>, then: Tenths) -> bool {
         let ns = &self.house.namespaces[l.ns];
@@ -350,7 +335,6 @@
         };
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let all_left = known().filter(|c| c.left && !c.cut_off).count() * 2 > known().count();
-        let part = self.part(l.ns);
         let none_trusted = care == 0 && known().all(|c| c.left);
         zone.into_iter().find(|&cache| {
             let c = &self.caches[cache];
@@ -360,7 +344,7 @@
                 && (care == 0 || !self.silent(cache))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && self.warm_enough(cache, l.key)
-                && c.out * 100 + l.luck < if care == 2 { c.room * part / 100 } else { c.room * part / 67 }
+                && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
                 && self.may_shoot(l, cache)
         })
     }
@@ -430,7 +414,7 @@
             return out.wake(lkp.0, left);
         }
         let o = &self.caches[origin];
-        if o.out * 100 + l.luck >= o.room * self.part(l.ns) / 100 || self.origin_times.mean(400) > left {
+        if o.out * 100 + l.luck >= o.room || self.origin_times.mean(400) > left {
             return self.give_up(lkp, out);
         }
         if !l.write {
@@ -480,17 +464,12 @@
         } else {
             out.abandon(lkp);
         }
-        self.close(lkp, false, out);
+        self.close(lkp, out);
     }
 
     /// The lookup has its final answer: nothing more is sent for it.
-    fn close(&mut self, lkp: Lkp, resolved: bool, out: &mut dyn Carrier) {
+    fn close(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         let Some(l) = self.lookups.get_mut(&lkp.0) else { return };
-        if !l.over {
-            let ns = &mut self.house.namespaces[l.ns];
-            ns.ended += 8;
-            ns.in_time += if resolved && self.now <= l.useful_until { 8 } else { 0 };
-        }
         if !l.over && self.house.withdrawals {
             let open = l.shots.iter().enumerate().filter(|(_, s)| s.out);
             open.for_each(|(i, _)| out.withdraw(lkp, i));
@@ -610,7 +589,7 @@
     }
 
     pub fn client_left(self, router: &mut Router, out: &mut dyn Carrier) {
-        router.close(self, false, out);
+        router.close(self, out);
     }
 
     /// A shot ended; `finished` says that the client has its answer, by this or before.
@@ -675,7 +654,7 @@
             router.give_credit(cache, ending == Ending::Resolved);
         }
         if finished || over {
-            router.close(self, ending == Ending::Resolved, out);
+            router.close(self, out);
         } else if ending == Ending::Miss && router.house.origin_kind.is_some() {
             router.ask_origin(self, out);
         } else if !router.lookups[&self.0].out() {
