Look keys up on the ring of all zones while the origin is short

The owner of a key on the ring of all zones is its owner in that zone's own ring, so the switch finds warm copies.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -142,8 +142,8 @@
     house: HouseRules,
     chance: Chance,
     caches: Vec<Known>,
-    home: Vec<(u64, Cache)>,
-    away: Vec<(u64, Cache)>,
+    rings: [Vec<(u64, Cache)>; 3], // of the own zone, of the others, of all
+    pooled: u64,                   // hundredths of the keys that are looked up on the ring of all zones
     origin: Option<Cache>,
     lookups: HashMap<u64, Lookup>,
     taken: u64,
@@ -179,6 +179,7 @@
                 self.kept[0].clear();
             }
             self.origin_times.fade();
+            self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
                 c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
@@ -214,16 +215,15 @@
             }
         }
         // 128 points a cache, as the design has it, from the id alone: all proxies build one ring.
-        let mut rings = (Vec::new(), Vec::new());
+        let mut rings = [Vec::new(), Vec::new(), Vec::new()];
         for (i, c) in self.caches.iter().enumerate() {
             if Some(i) != self.origin && c.standing == Standing::Ready {
-                let ring = if c.zone == self.house.zone { &mut rings.0 } else { &mut rings.1 };
-                ring.extend((0..128).map(|salt| (point(&c.id, salt + 1), i)));
+                rings[2].extend((0..128).map(|salt| (point(&c.id, salt + 1), i)));
             }
         }
-        (self.home, self.away) = rings;
-        self.home.sort_unstable();
-        self.away.sort_unstable();
+        rings[2].sort_unstable();
+        (rings[0], rings[1]) = rings[2].iter().partition(|p| self.caches[p.1].zone == self.house.zone);
+        self.rings = rings;
     }
 
     pub fn watch_failed(&mut self, out: &mut dyn Carrier) {
@@ -313,8 +313,8 @@
     /// Walks a ring from the key's point, passing caches at the cap. Care 2 also passes caches that are left,
     /// silent, or would need over half of the time that is left; care 1 allows nine tenths of that time;
     /// care 0 asks a cache that is left rather than none.
-    fn walk(&self, home: bool, l: &Lookup, care: u32) -> Option<Cache> {
-        let ring = if home { &self.home } else { &self.away };
+    fn walk(&self, ring: usize, l: &Lookup, care: u32) -> Option<Cache> {
+        let ring = &self.rings[ring];
         let mut zone: Vec<Cache> = Vec::new();
         let start = ring.partition_point(|p| p.0 < l.key);
         for i in 0..ring.len() {
@@ -391,15 +391,25 @@
         // Guards the origin behind the caches: when fetches fail or come late, lookups for keys that no cache
         // is known to hold are deferred, and those that are held go on being answered.
         if self.fresh(l) && self.fetches_out * 100 + l.luck >= self.fetch_room {
-            return self.give_up(lkp, out);
+            return self.spare_origin(lkp, out);
         }
-        let rounds = [(true, 2), (false, 2), (true, 1), (false, 1), (true, 0), (false, 0)];
-        match rounds.into_iter().find_map(|(home, care)| self.walk(home, l, care)) {
+        let pooled = mixed(l.key) / 1000 % 100 < self.pooled;
+        let rounds = if pooled { [(2, 2), (2, 1)] } else { [(0, 2), (1, 2)] };
+        let then = [(0, 1), (1, 1), (0, 0), (1, 0)];
+        match rounds.into_iter().chain(then).find_map(|(ring, care)| self.walk(ring, l, care)) {
             Some(cache) => self.shoot(lkp, cache, out),
             None => self.give_up(lkp, out),
         }
     }
 
+    /// The origin is short: fewer copies of a key leave room for more keys, so by and by lookups go to the ring
+    /// of all zones, where the cache next to a key is the one that its own zone uses. Guards an origin that is
+    /// slow or flooded, which every zone by itself would ask for the same keys.
+    fn spare_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
+        self.pooled = (self.pooled + 2).min(100);
+        self.give_up(lkp, out);
+    }
+
     /// Aside caches: misses and writes go to the origin. One fetch a key at a time; who comes meanwhile waits
     /// for it and then asks the cache again. Guards the origin against a stampede on one key.
     fn ask_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
@@ -415,7 +425,7 @@
         }
         let o = &self.caches[origin];
         if o.out * 100 + l.luck >= o.room || self.origin_times.mean(400) > left {
-            return self.give_up(lkp, out);
+            return self.spare_origin(lkp, out);
         }
         if !l.write {
             self.fetches.insert(l.key, Vec::new());
@@ -485,8 +495,7 @@
     /// Those who waited for a fetch go on: to the cache that now holds the key, or one of them to the origin.
     fn release(&mut self, key: Option<u64>, stored: bool, out: &mut dyn Carrier) {
         for lkp in key.and_then(|k| self.fetches.remove(&k)).unwrap_or_default() {
-            match self.lookups.get(&lkp.0) {
-                Some(l) if !l.waits => {}
+            match self.lookups.get(&lkp.0).filter(|l| l.waits) {
                 Some(_) if stored => self.place(lkp, out),
                 Some(_) => self.ask_origin(lkp, out),
                 None => {}
@@ -551,8 +560,8 @@
             }
             return;
         }
-        let Some((i, shot)) = l.shots.iter().enumerate().rfind(|(_, s)| s.out) else { return };
-        let (cache, sent, hush) = (shot.cache, shot.sent, self.hush());
+        let Some(i) = l.shots.iter().rposition(|s| s.out) else { return };
+        let (cache, sent, hush) = (l.shots[i].cache, l.shots[i].sent, self.hush());
         if Some(cache) == self.origin || self.now >= l.useful_until {
             return;
         }
@@ -660,9 +669,8 @@
         } else if !router.lookups[&self.0].out() {
             let to_origin = Some(cache) == router.origin;
             match ending {
-                Ending::Unsent | Ending::Full if to_origin => router.give_up(self, out),
-                Ending::Unreachable | Ending::Miss => router.move_on(self, true, out),
                 _ if to_origin => router.give_up(self, out),
+                Ending::Unreachable | Ending::Miss => router.move_on(self, true, out),
                 _ => router.move_on(self, false, out),
             }
         }
