--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -94,13 +94,6 @@
         self.0.iter_mut().for_each(|n| *n /= 2);
     }
 
-    /// The mean, with `usual` counted as one more measurement.
-    pub fn mean(&self, usual: Tenths) -> Tenths {
-        let sum: u64 = (0..14).map(|i| u64::from(self.0[i]) * (12 << i)).sum();
-        let count: u64 = self.0.iter().map(|n| u64::from(*n)).sum();
-        (sum + 4 * usual) / (count + 4)
-    }
-
     /// The time that nine in ten stayed under, or `usual` where too few were measured.
     pub fn ninth(&self, usual: Tenths) -> Tenths {
         let count: u32 = self.0.iter().sum();
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -99,10 +99,11 @@
     hushed: bool,       // the present silence was counted
     doubt: u64,         // up by 3 for a failure, down by 1 for an answer
     left: bool,
-    cut_off: bool, // what it was left for was its connection
-    stay: Tenths,  // how long it is left alone next
-    room: u64,     // hundredths of a shot that it takes at once without being late
-    credit: u64,   // while it is cold: thousandths of a shot that it may still be sent
+    cut_off: bool,  // what it was left for was its connection
+    stay: Tenths,   // how long it is left alone next
+    lately: Tenths, // what its answers took, the last counting most
+    room: u64,      // hundredths of a shot that it takes at once without being late
+    credit: u64,    // while it is cold: thousandths of a shot that it may still be sent
 }
 
 struct Shot {
@@ -149,7 +150,6 @@
     taken: u64,
     fetches: HashMap<u64, Vec<Lkp>>,
     times: Tally,
-    origin_times: Tally,
     fetches_out: u64, // shots that make a cache ask the origin, and how many hundredths it may be
     fetch_room: u64,
     kept: [HashSet<u64>; 2], // keys resolved lately, and before that
@@ -178,10 +178,10 @@
                 self.kept.swap(0, 1);
                 self.kept[0].clear();
             }
-            self.origin_times.fade();
             self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
                 c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
+                c.lately -= c.lately / 8; // so that a cache nobody asks is asked again
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
             }
         }
@@ -328,6 +328,7 @@
         }
         let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
         let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
+        let left = l.useful_until.saturating_sub(self.now);
         let known = || {
             (0..self.caches.len())
                 .filter(|c| self.ready(*c) && Some(*c) != self.origin)
@@ -344,6 +345,7 @@
                 && (care == 0 || !self.silent(cache))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && self.warm_enough(cache, l.key)
+                && c.lately * 4 / 3 <= left // Guards against queues that this lookup can't outwait.
                 && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
                 && self.may_shoot(l, cache)
         })
@@ -424,7 +426,7 @@
             return out.wake(lkp.0, left);
         }
         let o = &self.caches[origin];
-        if o.out * 100 + l.luck >= o.room || self.origin_times.mean(400) > left {
+        if o.out * 100 + l.luck >= o.room || o.lately > left {
             return self.spare_origin(lkp, out);
         }
         if !l.write {
@@ -625,15 +627,19 @@
             (c.owes_since, c.hushed) = (router.now, false);
         }
         let from_cache = Some(cache) != router.origin;
-        if ending == Ending::Resolved {
-            if from_cache { router.times.add(took) } else { router.origin_times.add(took) }
+        let target = router.house.namespaces[l.ns].target;
+        if matches!(ending, Ending::Resolved | Ending::TimedOut) {
+            c.lately = (c.lately * 7 + took.min(target)) / 8;
+        }
+        if ending == Ending::Resolved && from_cache {
+            router.times.add(took);
         }
         router.house.resize(c, ending, took, company, l.ns, from_cache);
         router.fetches_out -= u64::from(fresh);
         let failed = router.house.through && ending == Ending::Error;
         if fresh || failed {
             // Long work is late by itself, so a fetch counts against the origin when it fails or came in vain.
-            let vain = took >= router.house.namespaces[l.ns].target;
+            let vain = took >= target;
             router.fetch_room = match ending {
                 Ending::Resolved if !vain => (router.fetch_room + 4).min(10_000),
                 Ending::Resolved | Ending::TimedOut | Ending::Error if failed || vain => {
