--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -78,7 +78,7 @@
         let late = took > if from_cache { (own / 2).min(shortest * 3 / 4) } else { own / 2 };
         match ending {
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
-            Ending::Resolved | Ending::TimedOut if late => c.room = c.room.min(company * 300) * 7 / 8,
+            Ending::Resolved | Ending::TimedOut if late => c.room -= c.room / 8,
             Ending::Full => c.room -= c.room / 4,
             _ => {}
         }
