--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -396,8 +396,8 @@
             return self.spare_origin(lkp, out);
         }
         let pooled = mixed(l.key) / 1000 % 100 < self.pooled;
-        let rounds = if pooled { [(2, 2), (2, 1), (0, 1)] } else { [(0, 2), (0, 1), (1, 2)] };
-        let then = [(1, 1), (0, 0), (1, 0)];
+        let rounds = if pooled { [(2, 2), (2, 1)] } else { [(0, 2), (1, 2)] };
+        let then = [(0, 1), (1, 1), (0, 0), (1, 0)];
         match rounds.into_iter().chain(then).find_map(|(ring, care)| self.walk(ring, l, care)) {
             Some(cache) => self.shoot(lkp, cache, out),
             None => self.give_up(lkp, out),
