--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -226,8 +226,9 @@
         };
         let key = text_or(event, "routeKey", "")?;
         let expires = whole(event, "expiresNs")? / NS_PER_TENTH;
-        let (write, again) = (flag(event, "isWrite")?, flag(event, "retry")?);
-        let lkp = self.router.take(ns, tenant, key, write, again, expires);
+        flag(event, "retry")?;
+        let write = flag(event, "isWrite")?;
+        let lkp = self.router.take(ns, tenant, key, write, expires);
         self.lookups.insert(req, lkp);
         self.requests.insert(lkp, req);
         let mut pen = Pen { caches: &self.caches, requests: &self.requests, actions };
