--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -220,15 +220,15 @@
     fn knock(&mut self, event: &Object, actions: &mut Vec<Value>) -> Read<()> {
         let req = whole(event, "req")?;
         let ns = place_of(&self.house.namespaces, text(event, "service")?, "service", "namespace")?;
-        let tenant = match text_or(event, "project", "")? {
-            "" => None,
-            name => Some(place_of(&self.house.tenants, name, "project", "tenant")?),
-        };
+        let tenant = text_or(event, "project", "")?;
+        if !tenant.is_empty() {
+            place_of(&self.house.tenants, tenant, "project", "tenant")?;
+        }
         let key = text_or(event, "routeKey", "")?;
         let expires = whole(event, "expiresNs")? / NS_PER_TENTH;
         flag(event, "retry")?;
         let write = flag(event, "isWrite")?;
-        let lkp = self.router.take(ns, tenant, key, write, expires);
+        let lkp = self.router.take(ns, key, write, expires);
         self.lookups.insert(req, lkp);
         self.requests.insert(lkp, req);
         let mut pen = Pen { caches: &self.caches, requests: &self.requests, actions };
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -36,7 +36,6 @@
     through: bool, // caches fetch for themselves
     origin_kind: Option<usize>,
     namespaces: Vec<Namespace>,
-    tenants: Vec<(f64, u64)>, // each one's share, and what it asked for lately, in eighths
 }
 
 impl HouseRules {
@@ -66,9 +65,6 @@
             through: num("through", 0.0) > 0.0,
             origin_kind: (!word("origin kind").is_empty()).then(|| num("origin kind", 0.0) as usize),
             namespaces: (0..num("namespaces", 0.0) as usize).map(namespace).collect(),
-            tenants: (0..num("tenants", 0.0) as usize)
-                .map(|i| (num(&format!("tenant {i} share"), 1.0), 0))
-                .collect(),
         }
     }
 
@@ -159,7 +155,6 @@
     kept: [HashSet<u64>; 2], // keys resolved lately, and before that
     faded: Tenths,
     spare: u64,
-    asked: u64,
     watch_fails: u32,
 }
 
@@ -178,8 +173,6 @@
         while self.faded + SECOND <= now {
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
             self.times.fade();
-            self.asked -= self.asked / 8;
-            self.house.tenants.iter_mut().for_each(|t| t.1 -= t.1 / 8);
             // Keys are remembered for 4 to 8 s, about as long as a small cache keeps what nobody asks for.
             if (self.faded / SECOND).is_multiple_of(4) {
                 self.kept.swap(0, 1);
@@ -366,7 +359,7 @@
     }
 
     /// Takes a lookup. It must be answered once, before `expires`; route it next.
-    pub fn take(&mut self, ns: usize, tenant: Option<usize>, key: &str, write: bool, expires: Tenths) -> Lkp {
+    pub fn take(&mut self, ns: usize, key: &str, write: bool, expires: Tenths) -> Lkp {
         let lkp = Lkp(self.taken);
         self.taken += 1;
         // A fifth of all lookups may be sent once more, and a few dozen in a row: enough for a cache that
@@ -374,13 +367,7 @@
         self.spare = (self.spare + 2).min(400);
         let rules = &self.house.namespaces[ns];
         let useful = if rules.late_counts { expires } else { expires.min(self.now + rules.target) };
-        let (key, mut luck) = (point(key, 0), self.chance.below(100));
-        self.asked += 8;
-        if let Some((share, asked)) = tenant.and_then(|t| self.house.tenants.get_mut(t)) {
-            *asked += 8;
-            // Guards tenants within their share: who asks for a quarter more leaves the last places to them.
-            luck += if *asked as f64 > 1.25 * *share * self.asked as f64 { 150 } else { 0 };
-        }
+        let (key, luck) = (point(key, 0), self.chance.below(100));
         let lookup = Lookup { ns, key, write, expires, useful_until: useful, luck, ..Lookup::default() };
         self.lookups.insert(lkp.0, lookup);
         lkp
