--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -570,7 +570,10 @@
         }
         if self.house.second_copies {
             self.move_on(lkp, false, out);
-        } else if self.house.withdrawals && self.spare >= 10 {
+        } else if self.house.withdrawals
+            && self.spare >= 10
+            && self.harmless(&self.lookups[&token], None, self.now)
+        {
             out.withdraw(lkp, i);
         }
     }
--- /dev/null
+++ b/crates/policy/tests/decisions.rs
@@ -0,0 +1,467 @@
+//! Short days of one router, each told as the decisions it made.
+
+mod helper;
+
+use chalkwalk_policy::{Ending, Standing};
+use expect_test::{Expect, expect};
+use helper::{CACHE, House, WATCH, house};
+
+const FOUR: [&str; 4] = ["amber", "birch", "cedar", "delta"];
+
+fn told(house: &mut House, expected: Expect) {
+    expected.assert_eq(&house.told());
+}
+
+fn owners(house: &mut House) -> Vec<String> {
+    (0..200).map(|i| house.owner(&format!("book/{i}"))).collect()
+}
+
+/// A key for each cache of `FOUR`, found by asking.
+fn key_of(house: &mut House, id: &str) -> String {
+    (0..999).map(|i| format!("page/{i}")).find(|key| house.owner(key) == id).unwrap()
+}
+
+#[test]
+fn removing_a_cache_moves_only_its_keys_and_order_does_not_matter() {
+    let (mut a, mut b) = (house(&[]), house(&[]));
+    a.ready(&FOUR);
+    b.ready(&["delta", "amber", "cedar", "birch"]);
+    let before = owners(&mut a);
+    assert_eq!(before, owners(&mut b));
+    a.ready(&["amber", "birch", "delta"]);
+    let moved = |(x, y): &(&String, &String)| x != y;
+    let after = owners(&mut a);
+    let from: Vec<_> = before.iter().zip(&after).filter(moved).map(|(x, _)| x.clone()).collect();
+    assert!(from.iter().all(|id| id == "cedar"));
+    expect!["48"].assert_eq(&from.len().to_string());
+}
+
+#[test]
+fn a_hot_key_spills_in_ring_order_at_the_cap() {
+    let mut h = house(&[]);
+    h.ready(&FOUR);
+    (0..9).for_each(|_| {
+        h.ask(0, "hot");
+    });
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 0 -> cache 2
+        lookup 1 -> cache 2
+        lookup 2 -> cache 3
+        lookup 3 -> cache 3
+        lookup 4 -> cache 1
+        lookup 5 -> cache 1
+        lookup 6 -> cache 2
+        lookup 7 -> cache 3
+        lookup 8 -> cache 1
+    "#]],
+    );
+}
+
+#[test]
+fn an_empty_zone_rings_over_the_others() {
+    let mut h = house(&[]);
+    h.list(&[("amber", 1, Standing::Ready, 0), ("birch", 2, Standing::Ready, 0)]);
+    h.ask(0, "book/1");
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 0 -> cache 0
+    "#]],
+    );
+}
+
+#[test]
+fn each_lookup_gets_one_answer_and_nothing_after() {
+    let mut h = house(&[]);
+    h.ready(&FOUR);
+    let (a, b) = (h.ask(0, "book/1"), h.ask(0, "book/2"));
+    h.end(a, 0, Ending::Resolved);
+    h.left_by_client(a);
+    h.end(a, 0, Ending::Error);
+    h.left_by_client(b);
+    h.wake(b.0);
+    h.end(b, 0, Ending::Error);
+    assert!(!a.known(&h.router) && !b.known(&h.router));
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 0 -> cache 0
+        lookup 1 -> cache 3
+        lookup 1 withdraws shot 0
+    "#]],
+    );
+}
+
+#[test]
+fn single_use_moves_on_only_when_surely_not_run() {
+    let mut h = house(&[]);
+    h.ready(&FOUR);
+    let (a, b) = (h.ask(2, "book/1"), h.ask(2, "book/2"));
+    h.end(a, 0, Ending::Unreachable);
+    h.end(a, 1, Ending::Broken);
+    h.pass(4000);
+    h.wake(b.0);
+    h.end(b, 0, Ending::TimedOut);
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 0 -> cache 0
+        lookup 1 -> cache 3
+        log: cache amber left
+        wake in 574 ms
+        lookup 0 -> cache 1
+        log: cache birch left
+        wake in 551 ms
+        lookup 0 abandoned
+        lookup 1 abandoned
+    "#]],
+    );
+}
+
+#[test]
+fn tagged_repeats_only_inside_window_and_group() {
+    let mut h = house(&[("namespace 1 group", "zone")]);
+    h.list(&[
+        ("amber", 0, Standing::Ready, 0),
+        ("birch", 0, Standing::Ready, 0),
+        ("cedar", 1, Standing::Ready, 0),
+    ]);
+    let a = h.ask(1, "book/1");
+    h.end(a, 0, Ending::Error);
+    h.end(a, 1, Ending::Error);
+    let b = h.ask(1, "book/1");
+    h.pass(5000);
+    h.end(b, 0, Ending::Error);
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 0 -> cache 0
+        lookup 0 -> cache 1
+        lookup 0 abandoned
+        lookup 1 -> cache 0
+        lookup 1 abandoned
+    "#]],
+    );
+}
+
+#[test]
+fn without_second_copies_one_shot_at_a_time() {
+    let mut h = house(&[("second copies", "0")]);
+    h.ready(&FOUR);
+    let a = h.ask(0, "book/1");
+    h.pass(3000);
+    h.wake(a.0);
+    h.end(a, 0, Ending::Withdrawn);
+    h.end(a, 1, Ending::Resolved);
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 0 -> cache 0
+        lookup 0 withdraws shot 0
+        lookup 0 -> cache 1
+    "#]],
+    );
+}
+
+#[test]
+fn nothing_new_to_a_draining_cache() {
+    let mut h = house(&[]);
+    h.ready(&FOUR);
+    let key = key_of(&mut h, "birch");
+    h.told();
+    h.ask(0, &key);
+    let rows = FOUR.map(|id| (id, 0, if id == "birch" { Standing::Draining } else { Standing::Ready }, 0));
+    h.list(&rows);
+    h.ask(0, &key);
+    h.ready(&["amber", "delta"]);
+    h.ask(0, &key);
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 3 -> cache 1
+        lookup 4 -> cache 3
+        lookup 5 -> cache 3
+    "#]],
+    );
+}
+
+#[test]
+fn a_cold_cache_gets_its_share_of_keys_and_no_more_than_its_credit() {
+    let mut h = house(&[]);
+    h.pass(200_000);
+    let mut rows = FOUR.map(|id| (id, 0, Standing::Ready, 0));
+    h.list(&rows);
+    let warm = owners(&mut h);
+    rows[1].3 = h.now;
+    h.list(&rows);
+    let cold = owners(&mut h);
+    let of_birch = |all: &[String]| all.iter().filter(|id| *id == "birch").count();
+    expect!["53 warm, 13 cold"].assert_eq(&format!("{} warm, {} cold", of_birch(&warm), of_birch(&cold)));
+    // All cold and nothing answered: one shot each, the rest is deferred.
+    let mut h = house(&[]);
+    h.pass(200_000);
+    h.list(&FOUR.map(|id| (id, 0, Standing::Ready, 200_000)));
+    (0..40).for_each(|i| {
+        h.ask(0, &format!("book/{i}"));
+    });
+    expect!["4 of 40 sent"].assert_eq(&format!("{} of 40 sent", h.told().matches("->").count()));
+}
+
+#[test]
+fn a_fast_failer_is_left_probed_and_taken_back_by_and_by() {
+    let mut h = house(&[]);
+    h.ready(&FOUR);
+    let key = key_of(&mut h, "cedar");
+    h.told();
+    for _ in 0..3 {
+        let a = h.ask(0, &key);
+        h.end(a, 0, Ending::Error);
+        h.end(a, 1, Ending::Resolved);
+    }
+    let a = h.ask(0, &key);
+    h.end(a, 0, Ending::Resolved);
+    h.pass(7000);
+    h.wake(CACHE + 2);
+    h.router.probed(2, true, &mut h.trace);
+    let (a, _) = (h.ask(0, &key), h.ask(0, &key));
+    h.end(a, 0, Ending::Error);
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 1 -> cache 2
+        lookup 1 -> cache 1
+        lookup 2 -> cache 2
+        lookup 2 -> cache 1
+        lookup 3 -> cache 2
+        log: cache cedar left
+        wake in 581 ms
+        lookup 3 -> cache 1
+        lookup 4 -> cache 1
+        probe cache 2
+        log: cache cedar tried again
+        lookup 5 -> cache 2
+        lookup 6 -> cache 1
+        log: cache cedar left
+        wake in 1144 ms
+        lookup 5 -> cache 1
+    "#]],
+    );
+}
+
+#[test]
+fn when_most_caches_fail_at_once_they_are_not_the_cause() {
+    let mut h = house(&[]);
+    h.ready(&FOUR);
+    let keys = ["amber", "birch", "cedar"].map(|id| key_of(&mut h, id));
+    for key in &keys {
+        for _ in 0..3 {
+            let a = h.ask(0, key);
+            h.end(a, 0, Ending::Error);
+            h.left_by_client(a);
+            h.end(a, 1, Ending::Withdrawn);
+        }
+    }
+    h.told();
+    keys.iter().for_each(|key| {
+        h.ask(0, key);
+    });
+    told(
+        &mut h,
+        expect![[r#"
+            lookup 23 -> cache 0
+            lookup 24 -> cache 1
+            lookup 25 -> cache 2
+        "#]],
+    );
+}
+
+#[test]
+fn dead_caches_are_not_asked_because_the_others_are_full() {
+    let mut h = house(&[]);
+    h.ready(&["amber", "birch"]);
+    let key = key_of(&mut h, "amber");
+    h.told();
+    let a = h.ask(0, &key);
+    h.end(a, 0, Ending::Unreachable);
+    for _ in 0..9 {
+        let b = h.ask(0, "other");
+        h.end(b, 0, Ending::Full);
+    }
+    h.told();
+    (0..3).for_each(|_| {
+        h.ask(0, &key);
+    });
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 12 deferred
+        lookup 13 deferred
+        lookup 14 deferred
+    "#]],
+    );
+}
+
+#[test]
+fn a_silent_cache_gets_a_second_copy_elsewhere_and_is_passed() {
+    let mut h = house(&[]);
+    h.ready(&FOUR);
+    let key = key_of(&mut h, "delta");
+    h.told();
+    let a = h.ask(0, &key);
+    h.pass(3000);
+    h.wake(a.0);
+    h.ask(0, &key);
+    h.end(a, 1, Ending::Resolved);
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 9 -> cache 3
+        lookup 9 -> cache 2
+        lookup 10 -> cache 2
+        lookup 9 withdraws shot 0
+    "#]],
+    );
+}
+
+const ASIDE: [(&str, &str); 1] = [("origin kind", "9")];
+
+#[test]
+fn misses_and_writes_go_to_the_origin_one_fetch_a_key() {
+    let mut h = house(&ASIDE);
+    h.ready(&["amber", "birch", "origin"]);
+    let (a, b) = (h.ask(0, "book/1"), h.ask(0, "book/1"));
+    h.end(a, 0, Ending::Miss);
+    h.end(b, 0, Ending::Miss);
+    h.write(1, "book/1");
+    h.end(a, 1, Ending::Resolved);
+    h.end(b, 1, Ending::Resolved);
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 0 -> cache 0
+        lookup 1 -> cache 0
+        lookup 0 -> cache 2
+        lookup 2 -> cache 2
+        lookup 1 -> cache 0
+    "#]],
+    );
+}
+
+#[test]
+fn who_waits_for_a_failed_fetch_asks_the_origin_itself_or_is_deferred() {
+    let mut h = house(&ASIDE);
+    h.ready(&["amber", "birch", "origin"]);
+    let [a, b, c] = [0; 3].map(|ns| h.ask(ns, "book/1"));
+    [a, b, c].iter().for_each(|l| h.end(*l, 0, Ending::Miss));
+    h.left_by_client(a);
+    h.pass(10_000);
+    h.wake(c.0);
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 0 -> cache 0
+        lookup 1 -> cache 0
+        lookup 2 -> cache 1
+        lookup 0 -> cache 2
+        lookup 0 withdraws shot 1
+        lookup 1 -> cache 2
+        lookup 2 deferred
+    "#]],
+    );
+}
+
+#[test]
+fn a_short_origin_is_spared_and_the_zones_act_as_one_cache() {
+    let mut h = house(&ASIDE);
+    h.list(&[
+        ("amber", 0, Standing::Ready, 0),
+        ("birch", 1, Standing::Ready, 0),
+        ("origin", 1, Standing::Ready, 0),
+    ]);
+    let before = owners(&mut h);
+    for i in 0..120 {
+        let a = h.ask(0, &format!("page/{i}"));
+        h.end(a, 0, Ending::Miss);
+        h.end(a, 1, Ending::Full);
+    }
+    let deferred = h.told().matches("deferred").count();
+    let after = owners(&mut h);
+    let away = |all: &[String]| all.iter().filter(|id| *id == "birch").count();
+    let line = format!("{deferred} deferred, {} then {} away", away(&before), away(&after));
+    expect!["120 deferred, 0 then 113 away"].assert_eq(&line);
+    (0..60).for_each(|_| h.pass(10_000));
+    let away_later = away(&owners(&mut h));
+    expect!["0"].assert_eq(&away_later.to_string());
+}
+
+#[test]
+fn failing_fetches_behind_caches_spare_the_keys_that_are_kept() {
+    let mut h = house(&[("through", "1")]);
+    h.ready(&FOUR);
+    h.owner("kept");
+    for i in 0..60 {
+        let a = h.ask(0, &format!("book/{i}"));
+        h.end(a, 0, Ending::Error);
+        h.left_by_client(a);
+    }
+    h.told();
+    let a = h.ask(0, "new");
+    h.ask(0, "newer");
+    h.ask(0, "kept");
+    h.end(a, 0, Ending::Resolved);
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 61 deferred
+        lookup 62 deferred
+        lookup 63 -> cache 2
+    "#]],
+    );
+}
+
+#[test]
+fn a_lost_watch_is_renewed_and_spread_out() {
+    let mut h = house(&[("watched", "1")]);
+    h.ready(&FOUR);
+    for _ in 0..3 {
+        h.router.watch_failed(&mut h.trace);
+        h.wake(WATCH);
+    }
+    h.ready(&FOUR);
+    told(
+        &mut h,
+        expect![[r#"
+        watch the list
+        log: list watch is lost
+        wake in 187 ms
+        watch the list
+        wake in 204 ms
+        watch the list
+        wake in 879 ms
+        watch the list
+        log: list watch is back
+    "#]],
+    );
+}
+
+#[test]
+fn a_cache_that_answers_too_late_is_passed_by_who_cannot_wait() {
+    let mut h = house(&[("namespace 0 target time", "2000")]);
+    h.ready(&["amber"]);
+    for _ in 0..8 {
+        let a = h.ask(1, "slow");
+        a.shot_ended(&mut h.router, 0, Ending::Resolved, 6000, true, &mut h.trace);
+    }
+    h.told();
+    h.ask(0, "slow");
+    h.ask(1, "slow");
+    told(
+        &mut h,
+        expect![[r#"
+        lookup 8 deferred
+        lookup 9 -> cache 0
+    "#]],
+    );
+}
--- /dev/null
+++ b/crates/policy/tests/helper/mod.rs
@@ -0,0 +1,147 @@
+//! A router whose decisions are written down line by line.
+
+use chalkwalk_policy::{Cache, Carrier, Ending, Entry, Lkp, Router, Standing, Tenths};
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+pub struct Trace(String);
+
+impl Trace {
+    fn line(&mut self, text: String) {
+        self.0.push_str(&text);
+        self.0.push('\n');
+    }
+}
+
+impl Carrier for Trace {
+    fn shoot(&mut self, lkp: Lkp, cache: Cache, _until: Tenths) {
+        self.line(format!("lookup {} -> cache {cache}", lkp.0));
+    }
+    fn withdraw(&mut self, lkp: Lkp, shot: usize) {
+        self.line(format!("lookup {} withdraws shot {shot}", lkp.0));
+    }
+    fn defer(&mut self, lkp: Lkp, _back_in: Tenths) {
+        self.line(format!("lookup {} deferred", lkp.0));
+    }
+    fn abandon(&mut self, lkp: Lkp) {
+        self.line(format!("lookup {} abandoned", lkp.0));
+    }
+    fn probe(&mut self, cache: Cache) {
+        self.line(format!("probe cache {cache}"));
+    }
+    fn wake(&mut self, token: u64, after: Tenths) {
+        if token >= 1 << 61 {
+            self.line(format!("wake in {} ms", after / 10));
+        }
+    }
+    fn watch(&mut self) {
+        self.line("watch the list".into());
+    }
+    fn log(&mut self, text: &str) {
+        self.line(format!("log: {text}"));
+    }
+}
+
+pub const WATCH: u64 = 1 << 62;
+pub const CACHE: u64 = 1 << 61;
+
+pub struct House {
+    pub router: Router,
+    pub trace: Trace,
+    pub now: Tenths,
+    ids: Vec<String>,
+}
+
+/// A house with one replayable, one tagged and one single-use namespace, 0 to 2, each with a target of 1 s.
+pub fn house(more: &[(&str, &str)]) -> House {
+    let mut said: BTreeMap<String, String> = BTreeMap::new();
+    let mut say = |name: &str, value: &str| said.insert(name.into(), value.into());
+    for (i, repeats) in ["replayable", "tagged", "single-use"].iter().enumerate() {
+        say(&format!("namespace {i} repeats"), repeats);
+        say(&format!("namespace {i} target time"), "10000");
+        say(&format!("namespace {i} group"), "all");
+        say(&format!("namespace {i} window"), "5000");
+    }
+    let usual = [("namespaces", "3"), ("most shots", "4"), ("second copies", "1"), ("withdrawals", "1")];
+    let rest =
+        [("probes", "1"), ("longest stay away", "20000"), ("cold share", "0.2"), ("cold time", "100000")];
+    usual.iter().chain(&rest).chain(more).for_each(|(name, value)| {
+        say(name, value);
+    });
+    let mut trace = Trace::default();
+    let router = Router::new(7, &said, &mut trace);
+    House { router, trace, now: 0, ids: Vec::new() }
+}
+
+impl House {
+    /// Hands over the whole list: (id, zone, standing, born); kind 9 for an id "origin", else 0.
+    pub fn list(&mut self, rows: &[(&str, usize, Standing, Tenths)]) {
+        for (id, ..) in rows {
+            if !self.ids.iter().any(|known| known == id) {
+                self.ids.push(id.to_string());
+            }
+        }
+        let row = |(id, zone, standing, born): &(&'static str, usize, Standing, Tenths)| Entry {
+            cache: self.ids.iter().position(|known| known == id).unwrap(),
+            id,
+            zone: *zone,
+            kind: if *id == "origin" { 9 } else { 0 },
+            cell: 0,
+            standing: *standing,
+            born: *born,
+        };
+        let rows: Vec<(&'static str, usize, Standing, Tenths)> =
+            rows.iter().map(|r| (&*Box::leak(r.0.to_string().into_boxed_str()), r.1, r.2, r.3)).collect();
+        let entries: Vec<Entry> = rows.iter().map(row).collect();
+        self.router.list_whole(&entries, &mut self.trace);
+    }
+
+    pub fn ready(&mut self, ids: &[&str]) {
+        let rows: Vec<_> = ids.iter().map(|id| (*id, 0, Standing::Ready, 0)).collect();
+        self.list(&rows);
+    }
+
+    pub fn pass(&mut self, tenths: Tenths) {
+        self.now += tenths;
+        self.router.clock(self.now);
+    }
+
+    pub fn ask(&mut self, ns: usize, key: &str) -> Lkp {
+        let lkp = self.router.take(ns, key, false, self.now + 20_000);
+        lkp.route(&mut self.router, &mut self.trace);
+        lkp
+    }
+
+    pub fn write(&mut self, ns: usize, key: &str) -> Lkp {
+        let lkp = self.router.take(ns, key, true, self.now + 20_000);
+        lkp.route(&mut self.router, &mut self.trace);
+        lkp
+    }
+
+    pub fn end(&mut self, lkp: Lkp, shot: usize, ending: Ending) {
+        let finished = ending == Ending::Resolved;
+        lkp.shot_ended(&mut self.router, shot, ending, 100, finished, &mut self.trace);
+    }
+
+    pub fn left_by_client(&mut self, lkp: Lkp) {
+        lkp.client_left(&mut self.router, &mut self.trace);
+    }
+
+    pub fn wake(&mut self, token: u64) {
+        self.router.woken(token, &mut self.trace);
+    }
+
+    /// Where a key goes while nothing else is in flight.
+    pub fn owner(&mut self, key: &str) -> String {
+        let kept = std::mem::take(&mut self.trace);
+        let lkp = self.ask(0, key);
+        self.end(lkp, 0, Ending::Resolved);
+        let said = std::mem::replace(&mut self.trace, kept).0;
+        let cache = said.split("cache ").nth(1).and_then(|rest| rest.trim().parse::<usize>().ok());
+        cache.map_or(said.trim().to_string(), |c| self.ids[c].clone())
+    }
+
+    pub fn told(&mut self) -> String {
+        std::mem::take(&mut self.trace.0)
+    }
+}
