--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -102,6 +102,7 @@
     cut_off: bool,  // what it was left for was its connection
     stay: Tenths,   // how long it is left alone next
     lately: Tenths, // what its answers took, the last counting most
+    peak: u64,      // most own shots in flight within the second
     room: u64,      // hundredths of a shot that it takes at once without being late
     credit: u64,    // while it is cold: thousandths of a shot that it may still be sent
 }
@@ -182,6 +183,8 @@
             for c in &mut self.caches {
                 c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
                 c.lately -= c.lately / 8; // so that a cache nobody asks is asked again
+                // Room that went unused is not known to be there: twice what was in flight, and two.
+                (c.room, c.peak) = (c.room.min(c.peak * 200 + 200), c.out);
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
             }
         }
@@ -436,6 +439,7 @@
             (c.owes_since, c.hushed) = (self.now, false);
         }
         c.out += 1;
+        c.peak = c.peak.max(c.out);
         c.credit = c.credit.saturating_sub(1000);
         l.waits = false;
         let (sent, company) = (self.now, c.out);
