--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -25,7 +25,6 @@
 #[derive(Default)]
 struct HouseRules {
     zone: usize,
-    proxies: u64,
     most_shots: usize,
     second_copies: bool,
     probes: bool,
@@ -55,7 +54,6 @@
         };
         HouseRules {
             zone: num("zone", 0.0) as usize,
-            proxies: num("proxies", 3.0).max(1.0) as u64,
             most_shots: num("most shots", 1.0) as usize,
             second_copies: num("second copies", 0.0) > 0.0,
             probes: num("probes", 0.0) > 0.0,
@@ -79,7 +77,7 @@
         let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(own);
         let late = took > if from_cache { (own / 2).min(shortest * 3 / 4) } else { own / 2 };
         match ending {
-            Ending::Resolved if !late && company * 200 > c.room => c.room += (48 / self.proxies).max(1),
+            Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
             Ending::Resolved | Ending::TimedOut if late => c.room -= c.room / 8,
             Ending::Full => c.room -= c.room / 4,
             _ => {}
