--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -641,9 +641,8 @@
             let vain = took >= target;
             router.fetch_room = match ending {
                 Ending::Resolved if !vain => (router.fetch_room + 4).min(10_000),
-                Ending::Resolved | Ending::TimedOut | Ending::Error if failed || vain => {
-                    router.fetch_room * 7 / 8
-                }
+                Ending::Error if failed => router.fetch_room * 7 / 8,
+                Ending::Resolved | Ending::TimedOut if vain => router.fetch_room * 15 / 16,
                 _ => router.fetch_room,
             };
             router.fetch_room = router.fetch_room.max(10);
