--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -68,10 +68,10 @@
         }
     }
 
-    /// Finds how much a cache takes at once by additive increase and multiplicative decrease. Late is what took
-    /// over half the shortest target time of all namespaces (of its own, at the origin): queues stay short
-    /// enough for the most urgent, which the patient would otherwise crowd out. A twelfth of a shot up and an
-    /// eighth of the room down hold some six shots where one answer in ten is late, and one where four are.
+    /// Finds how much a cache takes at once by additive increase and multiplicative decrease. Late is what
+    /// took over half its own target time (or 3/4 of the shortest of all, at a cache): queues stay short enough
+    /// for the most urgent, which the patient would otherwise crowd out. A sixth of a shot up and an eighth of
+    /// the room down hold some eight shots where one answer in seven is late, and one where half of them are.
     fn resize(&self, c: &mut Known, ending: Ending, took: Tenths, company: u64, ns: usize, from_cache: bool) {
         let own = self.namespaces[ns].target;
         let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(own);
@@ -203,9 +203,8 @@
         }
         self.watch_fails = 0;
         for e in entries {
-            while self.caches.len() <= e.cache {
-                self.caches.push(Known { room: 800, ..Known::default() });
-            }
+            let known = self.caches.len().max(e.cache + 1);
+            self.caches.resize_with(known, || Known { room: 800, ..Known::default() });
             let c = &mut self.caches[e.cache];
             if e.born > c.born {
                 // A new process under an old id: what was held against the old one is void.
@@ -244,7 +243,7 @@
     // ---- which cache ----
 
     fn ready(&self, cache: Cache) -> bool {
-        self.caches[cache].standing == Standing::Ready
+        Some(cache) != self.origin && self.caches[cache].standing == Standing::Ready
     }
 
     /// How long a cache with shots out may say nothing before it counts as silent: twice what nine in ten
@@ -313,9 +312,9 @@
             && self.harmless(l, Some(cache), self.now)
     }
 
-    /// Walks a ring from the key's point, passing caches at the cap. Care 2 also passes caches that are left,
-    /// silent, or would need over half of the time that is left; care 1 allows nine tenths of that time;
-    /// care 0 asks a cache that is left rather than none.
+    /// Walks a ring from the key's point, passing caches at the cap, left, silent, too cold or too late. Care 2
+    /// keeps to each cache's room, care 1 to one and a half times that; care 0 also asks a silent cache, and
+    /// one that is left where none is trusted.
     fn walk(&self, ring: usize, l: &Lookup, care: u32) -> Option<Cache> {
         let ring = &self.rings[ring];
         let mut zone: Vec<Cache> = Vec::new();
@@ -332,11 +331,7 @@
         let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
         let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
         let left = l.useful_until.saturating_sub(self.now);
-        let known = || {
-            (0..self.caches.len())
-                .filter(|c| self.ready(*c) && Some(*c) != self.origin)
-                .map(|c| &self.caches[c])
-        };
+        let known = || self.caches.iter().enumerate().filter(|c| self.ready(c.0)).map(|c| c.1);
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let all_left = known().filter(|c| c.left && !c.cut_off).count() * 2 > known().count();
         let none_trusted = care == 0 && known().all(|c| c.left);
@@ -399,9 +394,9 @@
         }
     }
 
-    /// The origin is short: fewer copies of a key leave room for more keys, so by and by lookups go to the ring
-    /// of all zones, where the cache next to a key is the one that its own zone uses. Guards an origin that is
-    /// slow or flooded, which every zone by itself would ask for the same keys.
+    /// The origin is short: fewer copies of a key leave room for more keys, so by and by lookups go to the
+    /// ring of all zones, where a key's cache is the one that its own zone uses. Guards an origin that is slow
+    /// or flooded, which every zone by itself would ask for the same keys.
     fn spare_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         self.pooled = (self.pooled + 2).min(100);
         self.give_up(lkp, out);
@@ -412,7 +407,8 @@
     fn ask_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         let l = &self.lookups[&lkp.0];
         let left = l.useful_until.saturating_sub(self.now);
-        let Some(origin) = self.origin.filter(|o| self.ready(*o) && self.may_shoot(l, *o)) else {
+        let up = |o: &Cache| self.caches[*o].standing == Standing::Ready && self.may_shoot(l, *o);
+        let Some(origin) = self.origin.filter(up) else {
             return self.give_up(lkp, out);
         };
         if !l.write && self.fetches.contains_key(&l.key) {
@@ -504,7 +500,8 @@
     // ---- health ----
 
     /// Doubt grows where more than one in four fails, and is enough after three failures in a row or at the
-    /// first sign that nothing listens: a fast failer holds little, never meets the cap and would keep its keys.
+    /// first sign that nothing listens: a fast failer holds little, never meets the cap and would keep its
+    /// keys.
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
         let c = &mut self.caches[cache];
         c.cut_off = matches!(ending, Ending::Unreachable | Ending::Broken);
@@ -520,7 +517,7 @@
 
     fn leave(&mut self, cache: Cache, out: &mut dyn Carrier) {
         let c = &mut self.caches[cache];
-        // From half a second, doubled at each new leave up to eight: short troubles cost little, long ones too.
+        // From half a second, doubled at each leave up to eight: short troubles cost little, long ones too.
         (c.left, c.stay) = (true, (c.stay * 2).clamp(SECOND / 2, 8 * SECOND));
         out.log(&format!("cache {} left", c.id));
         let wait = c.stay + self.chance.below(c.stay / 4);
@@ -637,7 +634,7 @@
         router.fetches_out -= u64::from(fresh);
         let failed = router.house.through && ending == Ending::Error;
         if fresh || failed {
-            // Long work is late by itself, so a fetch counts against the origin when it fails or came in vain.
+            // Long work is late by itself: a fetch counts against the origin when it failed or was in vain.
             let vain = took >= target;
             router.fetch_room = match ending {
                 Ending::Resolved if !vain => (router.fetch_room + 4).min(10_000),
