--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -87,7 +87,8 @@
 
 impl Tally {
     pub fn add(&mut self, took: Tenths) {
-        self.0[(took / 8 + 1).ilog2().min(13) as usize] += 4; // fours, so that a single one outlives two halvings
+        // In fours, so that a single one outlives two halvings.
+        self.0[(took / 8 + 1).ilog2().min(13) as usize] += 4;
     }
 
     pub fn fade(&mut self) {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -69,9 +69,9 @@
     }
 
     /// Finds how much a cache takes at once by additive increase and multiplicative decrease. Late is what
-    /// took over half its own target time (or 3/4 of the shortest of all, at a cache): queues stay short enough
-    /// for the most urgent, which the patient would otherwise crowd out. A sixth of a shot up and an eighth of
-    /// the room down hold some eight shots where one answer in seven is late, and one where half of them are.
+    /// took over half its own target time (or 3/4 of the shortest of all, at a cache): queues stay short
+    /// enough for the most urgent, which the patient would otherwise crowd out. A sixth of a shot up and an
+    /// eighth of the room down hold eight shots where one answer in seven is late, and one where half are.
     fn resize(&self, c: &mut Known, ending: Ending, took: Tenths, company: u64, ns: usize, from_cache: bool) {
         let own = self.namespaces[ns].target;
         let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(own);
@@ -246,10 +246,10 @@
         Some(cache) != self.origin && self.caches[cache].standing == Standing::Ready
     }
 
-    /// How long a cache with shots out may say nothing before it counts as silent: twice what nine in ten
-    /// answers stay under, so that a heavy lookup alone seldom does it; within 0.05 and 0.5 s.
+    /// How long a cache with shots out may say nothing before it counts as silent: three times what nine in
+    /// ten answers stay under, as a few heavy lookups together hold up more; within 0.05 and 1.5 s.
     fn hush(&self) -> Tenths {
-        (2 * self.times.ninth(SECOND / 10)).clamp(SECOND / 20, SECOND / 2)
+        (3 * self.times.ninth(SECOND / 15)).clamp(SECOND / 20, SECOND * 3 / 2)
     }
 
     fn silent(&self, cache: Cache) -> bool {
@@ -312,9 +312,9 @@
             && self.harmless(l, Some(cache), self.now)
     }
 
-    /// Walks a ring from the key's point, passing caches at the cap, left, silent, too cold or too late. Care 2
-    /// keeps to each cache's room, care 1 to one and a half times that; care 0 also asks a silent cache, and
-    /// one that is left where none is trusted.
+    /// Walks a ring from the key's point, passing caches at the cap, left, silent, too cold or too late. Care
+    /// 2 keeps to a cache's room, care 1 to 3/2 of it; care 0 also asks a silent cache, or a left one where
+    /// none is trusted.
     fn walk(&self, ring: usize, l: &Lookup, care: u32) -> Option<Cache> {
         let ring = &self.rings[ring];
         let mut zone: Vec<Cache> = Vec::new();
@@ -395,8 +395,8 @@
     }
 
     /// The origin is short: fewer copies of a key leave room for more keys, so by and by lookups go to the
-    /// ring of all zones, where a key's cache is the one that its own zone uses. Guards an origin that is slow
-    /// or flooded, which every zone by itself would ask for the same keys.
+    /// ring of all zones, where a key's cache is the one that its own zone uses. Guards an origin that is
+    /// slow or flooded, which every zone by itself would ask for the same keys.
     fn spare_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         self.pooled = (self.pooled + 2).min(100);
         self.give_up(lkp, out);
