--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -635,7 +635,7 @@
         let failed = router.house.through && ending == Ending::Error;
         if fresh || failed {
             // Long work is late by itself: a fetch counts against the origin when it failed or was in vain.
-            let vain = took >= target && !silent;
+            let vain = took >= target;
             router.fetch_room = match ending {
                 Ending::Resolved if !vain => (router.fetch_room + 4).min(10_000),
                 Ending::Error if failed => router.fetch_room * 7 / 8,
