--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -639,7 +639,7 @@
             router.fetch_room = match ending {
                 Ending::Resolved if !vain => (router.fetch_room + 4).min(10_000),
                 Ending::Error if failed => router.fetch_room * 7 / 8,
-                Ending::Resolved | Ending::TimedOut if vain => router.fetch_room * 7 / 8,
+                Ending::Resolved | Ending::TimedOut if vain => router.fetch_room * 15 / 16,
                 _ => router.fetch_room,
             };
             router.fetch_room = router.fetch_room.max(10);
