--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -69,13 +69,13 @@
     }
 
     /// Finds how much a cache takes at once by additive increase and multiplicative decrease. Late is what
-    /// took over half its own target time (or 3/4 of the shortest of all, at a cache): queues stay short
-    /// enough for the most urgent, which the patient would otherwise crowd out. A sixth of a shot up and an
-    /// eighth of the room down hold eight shots where one answer in seven is late, and one where half are.
+    /// took over half its target time, or 3/4 of the shortest: queues stay short enough for the most urgent,
+    /// which the patient would crowd out; at the origin, over 3/4 of its own. A sixth of a shot up and an
+    /// eighth of the room down hold eight shots where one in seven is late, and one where half are.
     fn resize(&self, c: &mut Known, ending: Ending, took: Tenths, company: u64, ns: usize, from_cache: bool) {
         let own = self.namespaces[ns].target;
         let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(own);
-        let late = took > if from_cache { (own / 2).min(shortest * 3 / 4) } else { own / 2 };
+        let late = took > if from_cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
             Ending::Resolved | Ending::TimedOut if late => c.room -= c.room / 8,
