--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -145,7 +145,7 @@
     chance: Chance,
     caches: Vec<Known>,
     rings: [Vec<(u64, Cache)>; 3], // of the own zone, of the others, of all
-    pooled: u64,                   // thousandths of the keys that are looked up on the ring of all zones
+    pooled: u64,                   // hundredths of the keys that are looked up on the ring of all zones
     origin: Option<Cache>,
     lookups: HashMap<u64, Lookup>,
     taken: u64,
@@ -179,6 +179,7 @@
                 self.kept.swap(0, 1);
                 self.kept[0].clear();
             }
+            self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
                 c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
                 c.lately -= c.lately / 8; // so that a cache nobody asks is asked again
@@ -362,8 +363,6 @@
         // A fifth of all lookups may be sent once more, and a few dozen in a row: enough for a cache that
         // fails until it is left, too little for a retry storm.
         self.spare = (self.spare + 2).min(400);
-        // Crossing zones has its price: half the keys when one lookup in twenty is deferred for the origin.
-        self.pooled -= self.pooled.div_ceil(256);
         let rules = &self.house.namespaces[ns];
         let useful = if rules.late_counts { expires } else { expires.min(self.now + rules.target) };
         let (key, luck) = (point(key, 0), self.chance.below(100));
@@ -386,7 +385,7 @@
         if self.fresh(l) && self.fetches_out * 100 + l.luck >= self.fetch_room {
             return self.spare_origin(lkp, out);
         }
-        let pooled = mixed(l.key) / 1000 % 1000 < self.pooled;
+        let pooled = mixed(l.key) / 1000 % 100 < self.pooled;
         let rounds = if pooled { [(2, 2), (2, 1)] } else { [(0, 2), (1, 2)] };
         let then = [(0, 1), (1, 1), (0, 0), (1, 0)];
         match rounds.into_iter().chain(then).find_map(|(ring, care)| self.walk(ring, l, care)) {
@@ -399,7 +398,7 @@
     /// ring of all zones, where a key's cache is the one that its own zone uses. Guards an origin that is
     /// slow or flooded, which every zone by itself would ask for the same keys.
     fn spare_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
-        self.pooled = (self.pooled + 40).min(1000);
+        self.pooled = (self.pooled + 2).min(100);
         self.give_up(lkp, out);
     }
 
