--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -75,11 +75,10 @@
     fn resize(&self, c: &mut Known, ending: Ending, took: Tenths, company: u64, ns: usize, from_cache: bool) {
         let own = self.namespaces[ns].target;
         let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(own);
-        let limit = if from_cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
-        let late = (took / limit.max(1)).min(3); // how many times over
+        let late = took > if from_cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
-            Ending::Resolved if late == 0 && company * 200 > c.room => c.room += 16,
-            Ending::Resolved | Ending::TimedOut => c.room -= late * c.room / 8,
+            Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
+            Ending::Resolved | Ending::TimedOut if late => c.room -= c.room / 8,
             Ending::Full => c.room -= c.room / 4,
             _ => {}
         }
