--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -99,10 +99,8 @@
     hushed: bool,       // the present silence was counted
     doubt: u64,         // up by 3 for a failure, down by 1 for an answer
     left: bool,
-    cut_off: bool,  // what it was left for was its connection
     stay: Tenths,   // how long it is left alone next
     lately: Tenths, // what its answers took, the last counting most
-    peak: u64,      // most own shots in flight within the second
     room: u64,      // hundredths of a shot that it takes at once without being late
     credit: u64,    // while it is cold: thousandths of a shot that it may still be sent
 }
@@ -183,8 +181,6 @@
             for c in &mut self.caches {
                 c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
                 c.lately -= c.lately / 8; // so that a cache nobody asks is asked again
-                // Room that went unused is not known to be there: twice what was in flight, and two.
-                (c.room, c.peak) = (c.room.min(c.peak * 200 + 200), c.out);
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
             }
         }
@@ -312,9 +308,9 @@
             && self.harmless(l, Some(cache), self.now)
     }
 
-    /// Walks a ring from the key's point, passing caches at the cap, left, silent, too cold or too late. Care
-    /// 2 keeps to a cache's room, care 1 to 3/2 of it; care 0 also asks a silent cache, or a left one where
-    /// none is trusted.
+    /// Walks a ring from the key's point, passing caches at the cap, left, silent or too cold. Care 2 keeps
+    /// to a cache's room, care 1 to 3/2 of it; care 0 also asks a silent cache, or a left one where none is
+    /// trusted.
     fn walk(&self, ring: usize, l: &Lookup, care: u32) -> Option<Cache> {
         let ring = &self.rings[ring];
         let mut zone: Vec<Cache> = Vec::new();
@@ -330,20 +326,17 @@
         }
         let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
         let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
-        let left = l.useful_until.saturating_sub(self.now);
         let known = || self.caches.iter().enumerate().filter(|c| self.ready(c.0)).map(|c| c.1);
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
-        let all_left = known().filter(|c| c.left && !c.cut_off).count() * 2 > known().count();
         let none_trusted = care == 0 && known().all(|c| c.left);
         zone.into_iter().find(|&cache| {
             let c = &self.caches[cache];
             let trusted = !c.left && (c.doubt < 6 || c.out == 0);
-            (trusted || none_trusted || (all_left && !c.cut_off))
+            (trusted || none_trusted)
                 && c.out < cap
                 && (care == 0 || !self.silent(cache))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && self.warm_enough(cache, l.key)
-                && c.lately * 4 / 3 <= left // Guards against queues that this lookup can't outwait.
                 && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
                 && self.may_shoot(l, cache)
         })
@@ -435,7 +428,6 @@
             (c.owes_since, c.hushed) = (self.now, false);
         }
         c.out += 1;
-        c.peak = c.peak.max(c.out);
         c.credit = c.credit.saturating_sub(1000);
         l.waits = false;
         let (sent, company) = (self.now, c.out);
@@ -504,11 +496,11 @@
     /// keys.
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
         let c = &mut self.caches[cache];
-        c.cut_off = matches!(ending, Ending::Unreachable | Ending::Broken);
         c.doubt = match ending {
             Ending::Resolved | Ending::Miss => c.doubt.saturating_sub(1),
             Ending::Full | Ending::Withdrawn | Ending::Unsent => c.doubt,
-            _ => c.doubt + if c.cut_off { 9 } else { 3 },
+            Ending::Unreachable | Ending::Broken => c.doubt + 9,
+            Ending::Error | Ending::TimedOut => c.doubt + 3,
         };
         if c.doubt >= 9 && !c.left && Some(cache) != self.origin {
             self.leave(cache, out);
