--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -264,10 +264,13 @@
     keys.iter().for_each(|key| {
         h.ask(0, key);
     });
-    told(&mut h, expect![[r#"
+    told(
+        &mut h,
+        expect![[r#"
         lookup 9 -> cache 0
         lookup 10 -> cache 1
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
