Let the fetch room never fall below one fetch

Cause: after a burst of failed fetches the room fell to a tenth, and where little is asked it took half a minute of single successes to come back, though no fetch failed any more.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -634,7 +634,7 @@
                 Ending::Resolved | Ending::TimedOut if vain => router.fetch_room * 15 / 16,
                 _ => router.fetch_room,
             };
-            router.fetch_room = router.fetch_room.max(10);
+            router.fetch_room = router.fetch_room.max(100); // one fetch at a time floods no origin
         }
         if failed {
             // Guards against copies gone void: the key is not kept after all.
