--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -151,6 +151,7 @@
     times: Tally,
     fetches_out: u64, // shots that make a cache ask the origin, and how many hundredths it may be
     fetch_room: u64,
+    fetch_failed: Tenths,
     kept: [HashSet<u64>; 2], // keys resolved lately, and before that
     faded: Tenths,
     spare: u64,
@@ -628,8 +629,13 @@
         if fresh || failed {
             // Long work is late by itself: a fetch counts against the origin when it failed or was in vain.
             let vain = took >= target;
+            // By a twenty-fifth of a fetch, and by an eighth once none was in vain for two seconds.
+            let calm = router.now > router.fetch_failed + 2 * SECOND;
+            if failed || vain {
+                router.fetch_failed = router.now;
+            }
             router.fetch_room = match ending {
-                Ending::Resolved if !vain => (router.fetch_room + 4).min(10_000),
+                Ending::Resolved if !vain => (router.fetch_room + if calm { 12 } else { 4 }).min(10_000),
                 Ending::Error if failed => router.fetch_room * 7 / 8,
                 Ending::Resolved | Ending::TimedOut if vain => router.fetch_room * 15 / 16,
                 _ => router.fetch_room,
