--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -173,8 +173,8 @@
         while self.faded + SECOND <= now {
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
             self.times.fade();
-            // Keys are remembered for 10 to 20 s, about as long as a small cache keeps what nobody asks for.
-            if (self.faded / SECOND).is_multiple_of(10) {
+            // Keys are remembered for 2 to 4 s, about as long as a small cache keeps what nobody asks for.
+            if (self.faded / SECOND).is_multiple_of(2) {
                 self.kept.swap(0, 1);
                 self.kept[0].clear();
             }
