--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -173,11 +173,9 @@
         while self.faded + SECOND <= now {
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
             self.times.fade();
-            // Keys are remembered for 2 to 4 s, about as long as a small cache keeps what nobody asks for.
-            if (self.faded / SECOND).is_multiple_of(2) {
-                self.kept.swap(0, 1);
-                self.kept[0].clear();
-            }
+            // Keys are remembered for 1 to 2 s: longer, and too many pass whose copy is gone by then.
+            self.kept.swap(0, 1);
+            self.kept[0].clear();
             self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
                 c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
