--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -25,7 +25,6 @@
 #[derive(Default)]
 struct HouseRules {
     zone: usize,
-    proxies: u64,
     most_shots: usize,
     second_copies: bool,
     probes: bool,
@@ -55,7 +54,6 @@
         };
         HouseRules {
             zone: num("zone", 0.0) as usize,
-            proxies: num("proxies", 3.0).max(1.0) as u64,
             most_shots: num("most shots", 1.0) as usize,
             second_copies: num("second copies", 0.0) > 0.0,
             probes: num("probes", 0.0) > 0.0,
@@ -201,9 +199,7 @@
         self.watch_fails = 0;
         for e in entries {
             let known = self.caches.len().max(e.cache + 1);
-            // Three proxies with eight shots each, or more with fewer, ask no more of a cache than it can queue.
-            let room = (2400 / self.house.proxies).max(200);
-            self.caches.resize_with(known, || Known { room, ..Known::default() });
+            self.caches.resize_with(known, || Known { room: 800, ..Known::default() });
             let c = &mut self.caches[e.cache];
             if e.born > c.born {
                 // A new process under an old id: what was held against the old one is void.
