--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -75,8 +75,7 @@
     fn resize(&self, c: &mut Known, ending: Ending, took: Tenths, company: u64, ns: usize, from_cache: bool) {
         let own = self.namespaces[ns].target;
         let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(own);
-        let late = took
-            > if from_cache { (own / 2).min(shortest * 3 / 4) } else { (own * 3 / 4).min(shortest * 3 / 2) };
+        let late = took > if from_cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
             Ending::Resolved | Ending::TimedOut if late => c.room -= c.room / 8,
