--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -308,7 +308,7 @@
     }
 
     /// Walks a ring from the key's point, passing caches at the cap, left, silent or too cold. Care 2 keeps
-    /// to a cache's room, care 1 to 5/4 of it; care 0 also asks a silent cache, or a left one where none is
+    /// to a cache's room, care 1 to 3/2 of it; care 0 also asks a silent cache, or a left one where none is
     /// trusted.
     fn walk(&self, ring: usize, l: &Lookup, care: u32) -> Option<Cache> {
         let ring = &self.rings[ring];
@@ -336,7 +336,7 @@
                 && (care == 0 || !self.silent(cache))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && self.warm_enough(cache, l.key)
-                && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 5 / 4 }
+                && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
                 && self.may_shoot(l, cache)
         })
     }
