--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -214,7 +214,7 @@
         // 128 points a cache, as the design has it, from the id alone: all proxies build one ring.
         let mut rings = [Vec::new(), Vec::new(), Vec::new()];
         for (i, c) in self.caches.iter().enumerate() {
-            if Some(i) != self.origin && c.standing == Standing::Ready {
+            if self.ready(i) {
                 rings[2].extend((0..128).map(|salt| (point(&c.id, salt + 1), i)));
             }
         }
@@ -325,9 +325,8 @@
         }
         let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
         let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
-        let known = || self.caches.iter().enumerate().filter(|c| self.ready(c.0)).map(|c| c.1);
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
-        let none_trusted = care == 0 && known().all(|c| c.left);
+        let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
         zone.into_iter().find(|&cache| {
             let c = &self.caches[cache];
             let trusted = !c.left && (c.doubt < 6 || c.out == 0);
@@ -646,10 +645,10 @@
                 kept.remove(&l.key);
             }
         }
-        if ending == Ending::Resolved {
+        if ending == Ending::Resolved && router.house.through {
             router.kept[0].insert(l.key);
         }
-        let key = (l.leads && Some(cache) == router.origin).then_some(l.key);
+        let key = (l.leads && !from_cache).then_some(l.key);
         l.leads &= key.is_none();
         let over = l.over;
         // An error on a fetch may be the origin's: it says nothing of the cache.
@@ -664,9 +663,8 @@
         } else if ending == Ending::Miss && router.house.origin_kind.is_some() {
             router.ask_origin(self, out);
         } else if !router.lookups[&self.0].out() {
-            let to_origin = Some(cache) == router.origin;
             match ending {
-                _ if to_origin => router.give_up(self, out),
+                _ if !from_cache => router.give_up(self, out),
                 Ending::Unreachable | Ending::Miss => router.move_on(self, true, out),
                 _ => router.move_on(self, false, out),
             }
--- a/crates/policy/tests/helper/mod.rs
+++ b/crates/policy/tests/helper/mod.rs
@@ -81,17 +81,16 @@
                 self.ids.push(id.to_string());
             }
         }
-        let row = |(id, zone, standing, born): &(&'static str, usize, Standing, Tenths)| Entry {
-            cache: self.ids.iter().position(|known| known == id).unwrap(),
+        let ids = &self.ids;
+        let row = |&(id, zone, standing, born)| Entry {
+            cache: ids.iter().position(|known| known == id).unwrap(),
             id,
-            zone: *zone,
-            kind: if *id == "origin" { 9 } else { 0 },
+            zone,
+            kind: if id == "origin" { 9 } else { 0 },
             cell: 0,
-            standing: *standing,
-            born: *born,
+            standing,
+            born,
         };
-        let rows: Vec<(&'static str, usize, Standing, Tenths)> =
-            rows.iter().map(|r| (&*Box::leak(r.0.to_string().into_boxed_str()), r.1, r.2, r.3)).collect();
         let entries: Vec<Entry> = rows.iter().map(row).collect();
         self.router.list_whole(&entries, &mut self.trace);
     }
@@ -107,13 +106,15 @@
     }
 
     pub fn ask(&mut self, ns: usize, key: &str) -> Lkp {
-        let lkp = self.router.take(ns, key, false, self.now + 20_000);
-        lkp.route(&mut self.router, &mut self.trace);
-        lkp
+        self.routed(ns, key, false)
     }
 
     pub fn write(&mut self, ns: usize, key: &str) -> Lkp {
-        let lkp = self.router.take(ns, key, true, self.now + 20_000);
+        self.routed(ns, key, true)
+    }
+
+    fn routed(&mut self, ns: usize, key: &str, write: bool) -> Lkp {
+        let lkp = self.router.take(ns, key, write, self.now + 20_000);
         lkp.route(&mut self.router, &mut self.trace);
         lkp
     }
