Give the learning about fetches a function of its own

A shot's end was eighty lines with the fetch room nested in it; the function now stands beside the ring of all zones, the other guard of the origin.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -385,6 +385,38 @@
         }
     }
 
+    /// Learns from a shot's end how many fetches the origin behind the caches takes, and which keys are kept.
+    fn fetch_ended(&mut self, key: u64, fresh: bool, ending: Ending, vain: bool) {
+        self.fetches_out -= u64::from(fresh);
+        if !self.house.through {
+            return;
+        }
+        let failed = ending == Ending::Error;
+        if fresh || failed {
+            // By a twenty-fifth of a fetch, and by an eighth once none was in vain for two seconds. Long work
+            // is late by itself: a fetch counts against the origin when it failed or was in vain.
+            let calm = self.now > self.fetch_failed + 2 * SECOND;
+            if failed || vain {
+                self.fetch_failed = self.now;
+            }
+            self.fetch_room = match ending {
+                Ending::Resolved if !vain => (self.fetch_room + if calm { 12 } else { 4 }).min(10_000),
+                Ending::Error => self.fetch_room * 7 / 8,
+                Ending::Resolved | Ending::TimedOut if vain => self.fetch_room * 15 / 16,
+                _ => self.fetch_room,
+            };
+            self.fetch_room = self.fetch_room.max(100); // one fetch at a time floods no origin
+        }
+        if failed {
+            // Guards against copies gone void: the key is not kept after all.
+            self.kept.iter_mut().for_each(|kept| {
+                kept.remove(&key);
+            });
+        } else if ending == Ending::Resolved {
+            self.kept[0].insert(key);
+        }
+    }
+
     /// The origin is short: fewer copies of a key leave room for more keys, so by and by lookups go to the
     /// ring of all zones, where a key's cache is the one that its own zone uses. Guards an origin that is
     /// slow or flooded, which every zone by itself would ask for the same keys.
@@ -621,36 +653,10 @@
             router.times.add(took);
         }
         router.house.resize(c, ending, took, company, l.ns, from_cache);
-        router.fetches_out -= u64::from(fresh);
-        let failed = router.house.through && ending == Ending::Error;
-        if fresh || failed {
-            // Long work is late by itself: a fetch counts against the origin when it failed or was in vain.
-            let vain = took >= target;
-            // By a twenty-fifth of a fetch, and by an eighth once none was in vain for two seconds.
-            let calm = router.now > router.fetch_failed + 2 * SECOND;
-            if failed || vain {
-                router.fetch_failed = router.now;
-            }
-            router.fetch_room = match ending {
-                Ending::Resolved if !vain => (router.fetch_room + if calm { 12 } else { 4 }).min(10_000),
-                Ending::Error if failed => router.fetch_room * 7 / 8,
-                Ending::Resolved | Ending::TimedOut if vain => router.fetch_room * 15 / 16,
-                _ => router.fetch_room,
-            };
-            router.fetch_room = router.fetch_room.max(100); // one fetch at a time floods no origin
-        }
-        if failed {
-            // Guards against copies gone void: the key is not kept after all.
-            for kept in &mut router.kept {
-                kept.remove(&l.key);
-            }
-        }
-        if ending == Ending::Resolved && router.house.through {
-            router.kept[0].insert(l.key);
-        }
         let key = (l.leads && !from_cache).then_some(l.key);
         l.leads &= key.is_none();
-        let over = l.over;
+        let (asked, over) = (l.key, l.over);
+        router.fetch_ended(asked, fresh, ending, took >= target);
         // An error on a fetch may be the origin's: it says nothing of the cache.
         if !(fresh && ending == Ending::Error || ending == Ending::TimedOut && !silent) {
             router.judge(cache, ending, out);
