--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -289,13 +289,10 @@
     fn harmless(&self, l: &Lookup, cache: Option<Cache>, then: Tenths) -> bool {
         let ns = &self.house.namespaces[l.ns];
         l.shots.iter().filter(|s| s.may_have_run).all(|s| {
-            let together = |same: fn(&Known, &Known) -> bool| {
-                cache.is_some_and(|c| same(&self.caches[s.cache], &self.caches[c]))
-            };
+            let (ran, next) = (&self.caches[s.cache], cache.map(|c| &self.caches[c]));
             let drops_it = match ns.group.as_str() {
                 "all" => true,
-                "zone" => together(|a, b| a.zone == b.zone),
-                _ => together(|a, b| a.zone == b.zone && a.cell == b.cell),
+                group => next.is_some_and(|n| n.zone == ran.zone && (group == "zone" || n.cell == ran.cell)),
             };
             ns.repeats == "replayable" || (ns.repeats == "tagged" && drops_it && then < s.sent + ns.window)
         })
@@ -377,9 +374,9 @@
             return self.spare_origin(lkp, out);
         }
         let pooled = mixed(l.key) / 1000 % 100 < self.pooled;
-        let rounds = if pooled { [(2, 2), (2, 1)] } else { [(0, 2), (1, 2)] };
-        let then = [(0, 1), (1, 1), (0, 0), (1, 0)];
-        match rounds.into_iter().chain(then).find_map(|(ring, care)| self.walk(ring, l, care)) {
+        let first = if pooled { [(2, 2), (2, 1)] } else { [(0, 2), (1, 2)] };
+        let rounds = first.into_iter().chain([(0, 1), (1, 1), (0, 0), (1, 0)]);
+        match rounds.into_iter().find_map(|(ring, care)| self.walk(ring, l, care)) {
             Some(cache) => self.shoot(lkp, cache, out),
             None => self.give_up(lkp, out),
         }
@@ -409,9 +406,7 @@
         }
         if failed {
             // Guards against copies gone void: the key is not kept after all.
-            self.kept.iter_mut().for_each(|kept| {
-                kept.remove(&key);
-            });
+            self.kept.iter_mut().for_each(|kept| drop(kept.remove(&key)));
         } else if ending == Ending::Resolved {
             self.kept[0].insert(key);
         }
@@ -511,10 +506,10 @@
     /// Those who waited for a fetch go on: to the cache that now holds the key, or one of them to the origin.
     fn release(&mut self, key: Option<u64>, stored: bool, out: &mut dyn Carrier) {
         for lkp in key.and_then(|k| self.fetches.remove(&k)).unwrap_or_default() {
-            match self.lookups.get(&lkp.0).filter(|l| l.waits) {
-                Some(_) if stored => self.place(lkp, out),
-                Some(_) => self.ask_origin(lkp, out),
-                None => {}
+            match self.lookups.get(&lkp.0) {
+                Some(l) if l.waits && stored => self.place(lkp, out),
+                Some(l) if l.waits => self.ask_origin(lkp, out),
+                _ => {}
             }
         }
     }
@@ -563,11 +558,10 @@
         }
         if token >= CACHE_TOKEN {
             let cache = (token - CACHE_TOKEN) as Cache;
-            match self.caches.get(cache) {
+            return match self.caches.get(cache) {
                 Some(c) if c.standing == Standing::Ready && self.house.probes => out.probe(cache),
                 _ => self.probed(cache, true, out),
-            }
-            return;
+            };
         }
         let lkp = Lkp(token);
         let Some(l) = self.lookups.get(&token).filter(|l| !l.over && !l.begun) else { return };
@@ -585,10 +579,9 @@
         if self.caches[cache].owes_since > sent || !self.silent(cache) {
             return out.wake(token, hush + 1);
         }
-        let first = !std::mem::replace(&mut self.caches[cache].hushed, true);
         // Nothing has come from this cache since the shot: guards against caches that hang, vanish or pause.
         // One silence is one failure, however many shots it holds up: a pause is no hang.
-        if first {
+        if !std::mem::replace(&mut self.caches[cache].hushed, true) {
             self.judge(cache, Ending::TimedOut, out);
         }
         if self.house.second_copies {
