Share a cold cache's first shot and floor among all proxies

Cause: each proxy gave a cold cache one shot at its start and one a second, whatever the others did; 160 or 600 proxies together sent it four to seven times what it could do. The mean answers a cache counts by are taken from the ring, no longer by a look at every cache.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -32,6 +32,7 @@
     longest_stay_away: Tenths, // 0: clients are not told when to return
     cold_share: f64,
     cold_time: Tenths,
+    cold_floor: u64, // thousandths of a shot that a cold cache may have from this proxy in a second
     watched: bool,
     through: bool, // caches fetch for themselves
     origin_kind: Option<usize>,
@@ -61,6 +62,8 @@
             longest_stay_away: num("longest stay away", 0.0) as Tenths,
             cold_share: num("cold share", 1.0),
             cold_time: num("cold time", 0.0) as Tenths,
+            // Four shots from all proxies together: at their present worst cold caches bear twice that.
+            cold_floor: 4000 / (num("proxies", 1.0) as u64).max(4),
             watched: num("watched", 0.0) > 0.0,
             through: num("through", 0.0) > 0.0,
             origin_kind: (!word("origin kind").is_empty()).then(|| num("origin kind", 0.0) as usize),
@@ -178,7 +181,9 @@
             self.kept[0].clear();
             self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
-                c.credit = c.credit.max(1000); // one a second at the least, or a fleet all cold would stay so
+                if c.credit < 1000 {
+                    c.credit += self.house.cold_floor; // or a fleet all cold would stay so
+                }
                 c.lately -= c.lately / 8; // so that a cache nobody asks is asked again
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
             }
@@ -203,7 +208,9 @@
             let c = &mut self.caches[e.cache];
             if e.born > c.born {
                 // A new process under an old id: what was held against the old one is void.
-                (c.doubt, c.left, c.stay, c.credit) = (0, false, 0, 1000);
+                (c.doubt, c.left, c.stay) = (0, false, 0);
+                // Some of many proxies begin with a shot, by chance, or all would send theirs together.
+                c.credit = self.house.cold_floor + self.chance.below(1000);
             }
             c.id = e.id.to_string();
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born);
@@ -275,12 +282,12 @@
     /// itself: so all proxies together stay near its capacity, however much is asked and whatever is known.
     /// Guards against pushing it over when far more is asked for than the fleet can do.
     fn give_credit(&mut self, cache: Cache, answered: bool) {
-        let ready = (0..self.caches.len()).filter(|c| self.ready(*c)).count() as u64;
+        let (ready, most) = (self.rings[2].len() as u64 / 128, 1000 + 2 * self.house.cold_floor);
         for i in 0..self.caches.len() {
             let warmth = self.warmth(i);
             if warmth < 1000 && self.ready(i) {
                 let due = if i == cache && answered { 1000 } else { warmth * 5 / 4 / ready };
-                self.caches[i].credit = (self.caches[i].credit + due).min(3000);
+                self.caches[i].credit = (self.caches[i].credit + due).min(most);
             }
         }
     }
@@ -406,7 +413,7 @@
         }
         if failed {
             // Guards against copies gone void: the key is not kept after all.
-            self.kept.iter_mut().for_each(|kept| drop(kept.remove(&key)));
+            self.kept.iter_mut().for_each(|kept| _ = kept.remove(&key));
         } else if ending == Ending::Resolved {
             self.kept[0].insert(key);
         }
