--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -44,6 +44,46 @@
     pub born: Tenths,
 }
 
+/// What is done with lookups of one namespace.
+pub(crate) struct Namespace {
+    pub target: Tenths,
+    pub late_counts: bool,
+    pub repeats: String, // replayable, tagged or single-use
+    pub group: String,   // which caches drop repeats of a tagged one: all, of one zone, of one cell
+    pub window: Tenths,
+}
+
+pub(crate) struct Shot {
+    pub cache: Cache,
+    pub sent: Tenths,
+    pub company: u64,
+    pub out: bool,
+    pub may_have_run: bool,
+    pub bad: bool,
+    pub fresh: bool, // the cache will likely ask the origin
+}
+
+#[derive(Default)]
+pub(crate) struct Lookup {
+    pub ns: usize,
+    pub key: u64,
+    pub write: bool,
+    pub expires: Tenths,
+    pub useful_until: Tenths,
+    pub luck: u64, // 0 to 99: who gets the last part of a place where there is less than one
+    pub shots: Vec<Shot>,
+    pub over: bool,
+    pub begun: bool,
+    pub waits: bool,
+    pub leads: bool,
+}
+
+impl Lookup {
+    pub fn out(&self) -> bool {
+        self.shots.iter().any(|s| s.out)
+    }
+}
+
 /// The way out: what a router wants done, each at the moment of the call.
 pub trait Carrier {
     fn shoot(&mut self, lkp: Lkp, cache: Cache, until: Tenths);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -6,21 +6,14 @@
 //! as things happen to it. `woken` and `probed` bring back what the router asked for. What it wants done
 //! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
 
-use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Lkp, Standing, Tally, Tenths, mixed, point};
+use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Lkp, Lookup, Namespace, Shot, Standing};
+use crate::plain::{Tally, Tenths, mixed, point};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 const SECOND: Tenths = 10_000;
 const CACHE_TOKEN: u64 = 1 << 61; // wakes below this are lookups, from here on caches
 const WATCH_TOKEN: u64 = 1 << 62;
 
-struct Namespace {
-    target: Tenths,
-    late_counts: bool,
-    repeats: String, // replayable, tagged or single-use
-    group: String,   // which caches drop repeats of a tagged one: all, of one zone, of one cell
-    window: Tenths,
-}
-
 /// What the house allows, read once when the router starts.
 #[derive(Default)]
 struct HouseRules {
@@ -108,37 +101,6 @@
     credit: u64,    // while it is cold: thousandths of a shot that it may still be sent
 }
 
-struct Shot {
-    cache: Cache,
-    sent: Tenths,
-    company: u64,
-    out: bool,
-    may_have_run: bool,
-    bad: bool,
-    fresh: bool, // the cache will likely ask the origin
-}
-
-#[derive(Default)]
-struct Lookup {
-    ns: usize,
-    key: u64,
-    write: bool,
-    expires: Tenths,
-    useful_until: Tenths,
-    luck: u64, // 0 to 99: who gets the last part of a place where there is less than one
-    shots: Vec<Shot>,
-    over: bool,
-    begun: bool,
-    waits: bool,
-    leads: bool,
-}
-
-impl Lookup {
-    fn out(&self) -> bool {
-        self.shots.iter().any(|s| s.out)
-    }
-}
-
 #[derive(Default)]
 pub struct Router {
     now: Tenths,
