Let caches say what they fetched, and judge late fetches beside late held answers

Cause: behind caches that fetch for themselves, a proxy took each key not resolved by itself in 1 to 2 s for a fetch. One of twenty-six proxies resolves little of what is held, so nearly all its lookups counted, and long work late by itself closed the room for fetches: at full size 22 to 34 in 100 were deferred while caches and origin had time. Now the cache's word (held or fetched, where it says so) is learned as a share for remembered and other keys; keys are remembered for 4 to 8 s; a late fetch counts beyond twice the share of held answers that are late.

--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -167,9 +167,13 @@
         let router = &mut self.router;
         match kind {
             "DONE" => {
-                let (shot, how) = (whole(event, "trial")?, ending(text(event, "reason")?)?);
+                let (shot, mut how) = (whole(event, "trial")?, ending(text(event, "reason")?)?);
                 let took = whole(event, "latencyNs")? / NS_PER_TENTH;
-                whole_or(event, "info", 0)?;
+                how = match (whole_or(event, "info", 0)?, how) {
+                    (1, Ending::Resolved) => Ending::Held,
+                    (2, Ending::Resolved) => Ending::Fetched,
+                    _ => how,
+                };
                 let finished = flag(event, "finished")?;
                 if let Some((_, lkp)) = lkp {
                     lkp.shot_ended(router, shot as usize, how, took, finished, pen);
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -14,6 +14,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
     Resolved,
+    /// Resolved, and the cache says that it held the value, or that it fetched it.
+    Held,
+    Fetched,
     Miss,
     Error,
     Full,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -26,9 +26,9 @@
     cold_share: f64,
     cold_time: Tenths,
     cold_floor: u64, // thousandths of a shot that a cold cache may have from this proxy in a second
-    watched: bool,
-    through: bool, // caches fetch for themselves
+    through: bool,   // caches fetch for themselves
     origin_kind: Option<usize>,
+
     namespaces: Vec<Namespace>,
 }
 
@@ -57,8 +57,8 @@
             cold_time: num("cold time", 0.0) as Tenths,
             // Four shots from all proxies together: at their present worst cold caches bear twice that.
             cold_floor: 4000 / (num("proxies", 1.0) as u64).max(4),
-            watched: num("watched", 0.0) > 0.0,
             through: num("through", 0.0) > 0.0,
+
             origin_kind: (!word("origin kind").is_empty()).then(|| num("origin kind", 0.0) as usize),
             namespaces: (0..num("namespaces", 0.0) as usize).map(namespace).collect(),
         }
@@ -114,9 +114,10 @@
     taken: u64,
     fetches: HashMap<u64, Vec<Lkp>>,
     times: Tally,
-    fetches_out: u64, // shots that make a cache ask the origin, and how many hundredths it may be
-    fetch_room: u64,
-    fetch_failed: Tenths,
+    held_late: u64,          // ten-thousandths of the answers from what a cache held
+    fetches_out: [u64; 2],   // shots for keys resolved here lately, and for others
+    fetch_share: [u64; 2],   // ten-thousandths of each that caches said they fetched
+    fetch_room: u64,         // hundredths of a fetch that may be out
     kept: [HashSet<u64>; 2], // keys resolved lately, and before that
     faded: Tenths,
     spare: u64,
@@ -126,10 +127,10 @@
 impl Router {
     pub fn new(seed: u64, said: &BTreeMap<String, String>, out: &mut dyn Carrier) -> Router {
         let (house, chance) = (HouseRules::read(said), Chance(mixed(seed) | 1));
-        if house.watched {
+        if said.get("watched").is_some_and(|w| w == "1") {
             out.watch();
         }
-        Router { house, chance, fetch_room: 3000, spare: 50, ..Router::default() }
+        Router { house, chance, fetch_share: [0, 10_000], fetch_room: 3000, spare: 50, ..Router::default() }
     }
 
     pub fn clock(&mut self, now: Tenths) {
@@ -138,9 +139,11 @@
         while self.faded + SECOND <= now {
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
             self.times.fade();
-            // Keys are remembered for 1 to 2 s: longer, and too many pass whose copy is gone by then.
-            self.kept.swap(0, 1);
-            self.kept[0].clear();
+            // Keys are remembered for 4 to 8 s: longer, and too many pass whose copy is gone by then.
+            if (self.faded / SECOND).is_multiple_of(4) {
+                self.kept.swap(0, 1);
+                self.kept[0].clear();
+            }
             self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
                 if c.credit < 1000 {
@@ -210,8 +213,8 @@
         Some(cache) != self.origin && self.caches[cache].standing == Standing::Ready
     }
 
-    /// How long a cache with shots out may say nothing before it counts as silent: three times what nine in
-    /// ten answers stay under, as a few heavy lookups together hold up more; within 0.05 and 1.5 s.
+    /// How long a cache with shots out may say nothing: three times what nine in ten answers stay under, as
+    /// a few heavy lookups together hold up more; within 0.05 and 1.5 s.
     fn hush(&self) -> Tenths {
         (3 * self.times.ninth(SECOND / 15)).clamp(SECOND / 20, SECOND * 3 / 2)
     }
@@ -233,16 +236,14 @@
     }
 
     /// A cold cache stands on the ring with the stated share of its keys only, the same keys at every proxy
-    /// and more by and by: each proxy keeps to its own part of the cache's budget with nothing to remember.
-    /// Guards against pushing over a cache that comes back, and the origin with its misses.
+    /// and more by and by. Guards against pushing over a cache that comes back, and the origin.
     fn warm_enough(&self, cache: Cache, key: u64) -> bool {
         let warmth = self.warmth(cache);
         warmth == 1000 || (mixed(key) % 1000 < warmth && self.caches[cache].credit >= 1000)
     }
 
     /// A cold cache may be sent as much as the mean cache answers, cut by its warmth, and what it answers
-    /// itself: so all proxies together stay near its capacity, however much is asked and whatever is known.
-    /// Guards against pushing it over when far more is asked for than the fleet can do.
+    /// itself. Guards against pushing it over when far more is asked for than the fleet can do.
     fn give_credit(&mut self, cache: Cache, answered: bool) {
         let (ready, most) = (self.rings[2].len() as u64 / 128, 1000 + 2 * self.house.cold_floor);
         for i in 0..self.caches.len() {
@@ -337,9 +338,10 @@
         if l.write && self.house.origin_kind.is_some() {
             return self.ask_origin(lkp, out);
         }
-        // Guards the origin behind the caches: when fetches fail or come late, lookups for keys that no cache
-        // is known to hold are deferred, and those that are held go on being answered.
-        if self.fresh(l) && self.fetches_out * 100 + l.luck >= self.fetch_room {
+        // Guards the origin behind the caches: when fetches fail or come late, lookups for keys that are not
+        // known to be held are deferred.
+        let fetching: u64 = (0..2).map(|i| self.fetches_out[i] * self.fetch_share[i] / 100).sum();
+        if self.fresh(l) && fetching + l.luck >= self.fetch_room {
             return self.spare_origin(lkp, out);
         }
         let pooled = mixed(l.key) / 1000 % 100 < self.pooled;
@@ -352,28 +354,28 @@
     }
 
     /// Learns from a shot's end how many fetches the origin behind the caches takes, and which keys are kept.
-    fn fetch_ended(&mut self, key: u64, fresh: bool, ending: Ending, vain: bool) {
-        self.fetches_out -= u64::from(fresh);
-        if !self.house.through {
-            return;
-        }
-        let failed = ending == Ending::Error;
-        if fresh || failed {
-            // By a twenty-fifth of a fetch, and by an eighth once none was in vain for two seconds. Long work
-            // is late by itself: a fetch counts against the origin when it failed or was in vain.
-            let calm = self.now > self.fetch_failed + 2 * SECOND;
-            if failed || vain {
-                self.fetch_failed = self.now;
-            }
+    fn fetch_ended(&mut self, key: u64, fresh: bool, fetched: Option<bool>, ending: Ending, vain: bool) {
+        self.fetches_out[usize::from(fresh)] -= 1;
+        // One of many proxies has resolved little of what a cache holds: the cache's own word tells the share.
+        if let Some(fetched) = fetched {
+            let share = &mut self.fetch_share[usize::from(fresh)];
+            *share = (*share * 31 + if fetched { 10_000 } else { 0 }) / 32;
+        }
+        if fetched.unwrap_or(fresh) || ending == Ending::Error {
             self.fetch_room = match ending {
-                Ending::Resolved if !vain => (self.fetch_room + if calm { 12 } else { 4 }).min(10_000),
+                Ending::Resolved if !vain => self.fetch_room + 8,
                 Ending::Error => self.fetch_room * 7 / 8,
                 Ending::Resolved | Ending::TimedOut if vain => self.fetch_room * 15 / 16,
                 _ => self.fetch_room,
             };
-            self.fetch_room = self.fetch_room.max(100); // one fetch at a time floods no origin
+            // Work that is long or queues is late without the origin: as answers of what was held are, and
+            // fetches twice as often for the time they take.
+            if fetched.is_some() {
+                self.fetch_room += self.fetch_room * self.held_late / 80_000;
+            }
+            self.fetch_room = self.fetch_room.clamp(100, 10_000); // one fetch at a time floods no origin
         }
-        if failed {
+        if ending == Ending::Error {
             // Guards against copies gone void: the key is not kept after all.
             self.kept.iter_mut().for_each(|kept| _ = kept.remove(&key));
         } else if ending == Ending::Resolved {
@@ -382,15 +384,14 @@
     }
 
     /// The origin is short: fewer copies of a key leave room for more keys, so by and by lookups go to the
-    /// ring of all zones, where a key's cache is the one that its own zone uses. Guards an origin that is
-    /// slow or flooded, which every zone by itself would ask for the same keys.
+    /// ring of all zones. Guards an origin that every zone by itself would ask for the same keys.
     fn spare_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         self.pooled = (self.pooled + 2).min(100);
         self.give_up(lkp, out);
     }
 
-    /// Aside caches: misses and writes go to the origin. One fetch a key at a time; who comes meanwhile waits
-    /// for it and then asks the cache again. Guards the origin against a stampede on one key.
+    /// Misses and writes go to the origin, one fetch a key at a time; who comes meanwhile waits for it and
+    /// then asks the cache again. Guards the origin against a stampede on one key.
     fn ask_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         let l = &self.lookups[&lkp.0];
         let left = l.useful_until.saturating_sub(self.now);
@@ -416,7 +417,7 @@
 
     fn shoot(&mut self, lkp: Lkp, cache: Cache, out: &mut dyn Carrier) {
         let (hush, fresh) = (self.hush(), self.lookups.get(&lkp.0).is_some_and(|l| self.fresh(l)));
-        self.fetches_out += u64::from(fresh);
+        self.fetches_out[usize::from(fresh)] += 1;
         let (Some(l), c) = (self.lookups.get_mut(&lkp.0), &mut self.caches[cache]) else { return };
         if c.out == 0 {
             (c.owes_since, c.hushed) = (self.now, false);
@@ -485,16 +486,15 @@
 
     // ---- health ----
 
-    /// Doubt grows where more than one in four fails, and is enough after three failures in a row or at the
-    /// first sign that nothing listens: a fast failer holds little, never meets the cap and would keep its
-    /// keys.
+    /// Doubt grows where more than one in four fails, and is enough after three in a row or at the first sign
+    /// that nothing listens: a fast failer holds little, never meets the cap and would keep its keys.
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
         let c = &mut self.caches[cache];
         c.doubt = match ending {
             Ending::Resolved | Ending::Miss => c.doubt.saturating_sub(1),
             Ending::Full | Ending::Withdrawn | Ending::Unsent => c.doubt,
             Ending::Unreachable | Ending::Broken => c.doubt + 9,
-            Ending::Error | Ending::TimedOut => c.doubt + 3,
+            _ => c.doubt + 3,
         };
         if c.doubt >= 9 && !c.left && Some(cache) != self.origin {
             self.leave(cache, out);
@@ -510,8 +510,7 @@
         out.wake(CACHE_TOKEN + cache as u64, wait);
     }
 
-    /// Tries a cache again that was left. Doubt stays so high that it gets one shot at a time until two were
-    /// answered, and that one more failure has it left again.
+    /// Tries a cache again that was left: one shot at a time until two were answered.
     pub fn probed(&mut self, cache: Cache, answered: bool, out: &mut dyn Carrier) {
         let Some(c) = self.caches.get_mut(cache).filter(|c| c.left) else { return };
         if !answered {
@@ -593,6 +592,10 @@
         finished: bool,
         out: &mut dyn Carrier,
     ) {
+        let (fetched, ending) = match ending {
+            Ending::Held | Ending::Fetched => (Some(ending == Ending::Fetched), Ending::Resolved),
+            _ => (None, ending),
+        };
         let Some(l) = router.lookups.get_mut(&self.0) else { return };
         let Some(s) = l.shots.get_mut(shot).filter(|s| s.out) else { return };
         let not_run = [Ending::Full, Ending::Unreachable, Ending::Unsent, Ending::Miss];
@@ -613,12 +616,16 @@
         }
         if ending == Ending::Resolved && from_cache {
             router.times.add(took);
+            if fetched == Some(false) {
+                router.held_late = (router.held_late * 31 + if took >= target { 10_000 } else { 0 }) / 32;
+            }
         }
         router.house.resize(c, ending, took, company, l.ns, from_cache);
         let key = (l.leads && !from_cache).then_some(l.key);
         l.leads &= key.is_none();
         let (asked, over) = (l.key, l.over);
-        router.fetch_ended(asked, fresh, ending, took >= target);
+        let vain = took >= target && !(ending == Ending::TimedOut && silent);
+        router.fetch_ended(asked, fresh, fetched, ending, vain);
         // An error on a fetch may be the origin's: it says nothing of the cache.
         if !(fresh && ending == Ending::Error || ending == Ending::TimedOut && !silent) {
             router.judge(cache, ending, out);
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -422,6 +422,23 @@
     );
 }
 
+#[test]
+fn what_caches_say_they_held_counts_little_against_a_short_origin() {
+    let sent = [Ending::Fetched, Ending::Held].map(|said| {
+        let mut h = house(&[("through", "1"), ("most shots", "2")]);
+        h.ready(&FOUR);
+        for i in 0..160 {
+            let a = h.ask(0, &format!("book/{i}"));
+            h.end(a, 0, if i < 30 { Ending::Error } else { said });
+            h.end(a, 1, Ending::Error);
+        }
+        h.told();
+        (0..40).for_each(|i| _ = h.ask(0, &format!("page/{i}")));
+        h.told().matches("->").count().to_string()
+    });
+    expect!["12 and 29 of 40 sent"].assert_eq(&format!("{} of 40 sent", sent.join(" and ")));
+}
+
 #[test]
 fn a_lost_watch_is_renewed_and_spread_out() {
     let mut h = house(&[("watched", "1")]);
--- a/crates/policy/tests/helper/mod.rs
+++ b/crates/policy/tests/helper/mod.rs
@@ -120,7 +120,7 @@
     }
 
     pub fn end(&mut self, lkp: Lkp, shot: usize, ending: Ending) {
-        let finished = ending == Ending::Resolved;
+        let finished = matches!(ending, Ending::Resolved | Ending::Held | Ending::Fetched);
         lkp.shot_ended(&mut self.router, shot, ending, 100, finished, &mut self.trace);
     }
 
