--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -91,7 +91,6 @@
     standing: Standing,
     born: Tenths,
     out: u64,           // own shots in flight
-    lately_sent: u64,   // hundredths of own shots, halved each second
     owes_since: Tenths, // last answer, or the first shot since nothing was out
     hushed: bool,       // the present silence was counted
     doubt: u64,         // up by 3 for a failure, down by 1 for an answer
@@ -150,7 +149,6 @@
                 if c.credit < 1000 {
                     c.credit += self.house.cold_floor; // or a fleet all cold would stay so
                 }
-                c.lately_sent /= 2;
                 c.lately -= c.lately / 8; // so that a cache nobody asks is asked again
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
             }
@@ -292,10 +290,6 @@
                 }
             }
         }
-        // The same cap on the shots of the last seconds, and three more, which chance alone seldom adds. Guards
-        // against a hot key where each of many proxies has too little in flight for the cap to be met.
-        let sent: u64 = zone.iter().map(|c| self.caches[*c].lately_sent).sum();
-        let most_sent = sent * 2 / zone.len().max(1) as u64 + 300;
         let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
         let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
@@ -305,7 +299,6 @@
             let trusted = !c.left && (c.doubt < 6 || c.out == 0);
             (trusted || none_trusted)
                 && c.out < cap
-                && (care == 0 || c.lately_sent < most_sent)
                 && (care == 0 || !self.silent(cache))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && self.warm_enough(cache, l.key)
@@ -430,7 +423,6 @@
             (c.owes_since, c.hushed) = (self.now, false);
         }
         c.out += 1;
-        c.lately_sent += 100;
         c.credit = c.credit.saturating_sub(1000);
         l.waits = false;
         let (sent, company) = (self.now, c.out);
