Ask other zones for some keys while the own zone's answers are late

Now a late answer of the own zone moves a tenth of the keys to the other zones' ring, an answer in time an eighth of that back, and a late answer from elsewhere takes a fifth back.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -109,6 +109,7 @@
     caches: Vec<Known>,
     rings: [Vec<(u64, Cache)>; 3], // of the own zone, of the others, of all
     pooled: u64,                   // hundredths of the keys that are looked up on the ring of all zones
+    away: u64,                     // thousandths of the keys that are asked of other zones first
     origin: Option<Cache>,
     lookups: HashMap<u64, Lookup>,
     taken: u64,
@@ -144,6 +145,7 @@
                 self.kept.swap(0, 1);
                 self.kept[0].clear();
             }
+            self.away -= self.away.div_ceil(16);
             self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
                 if c.credit < 1000 {
@@ -344,8 +346,11 @@
         if self.fresh(l) && fetching + l.luck >= self.fetch_room {
             return self.spare_origin(lkp, out);
         }
-        let pooled = mixed(l.key) / 1000 % 100 < self.pooled;
-        let first = if pooled { [(2, 2), (2, 1)] } else { [(0, 2), (1, 2)] };
+        let first = match mixed(l.key) / 1000 {
+            part if part % 100 < self.pooled => [(2, 2), (2, 1)],
+            part if part / 100 % 1000 < self.away => [(1, 2), (0, 2)],
+            _ => [(0, 2), (1, 2)],
+        };
         let rounds = first.into_iter().chain([(0, 1), (1, 1), (0, 0), (1, 0)]);
         match rounds.into_iter().find_map(|(ring, care)| self.walk(ring, l, care)) {
             Some(cache) => self.shoot(lkp, cache, out),
@@ -630,6 +635,16 @@
         if !(fresh && ending == Ending::Error || ending == Ending::TimedOut && !silent) {
             router.judge(cache, ending, out);
         }
+        // Guards against a zone that is asked for more than its caches can do while others have time: where more
+        // than one in nine answers is late, keys are asked of the other zones, unless those are late as well.
+        let own_zone = router.caches[cache].zone == router.house.zone;
+        if from_cache && matches!(ending, Ending::Resolved | Ending::TimedOut) {
+            router.away = match took >= target {
+                true if own_zone => (router.away + 100).min(1000),
+                true => router.away.saturating_sub(200),
+                false => router.away.saturating_sub(if own_zone { 12 } else { 0 }),
+            };
+        }
         if from_cache && matches!(ending, Ending::Resolved | Ending::Miss) {
             router.give_credit(cache, ending == Ending::Resolved);
         }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -397,6 +397,22 @@
     expect!["0"].assert_eq(&away_later.to_string());
 }
 
+#[test]
+fn a_late_zone_asks_the_others_unless_they_are_late_too() {
+    let mut h = house(&[]);
+    h.list(&[("amber", 0, Standing::Ready, 0), ("birch", 1, Standing::Ready, 0)]);
+    let mut away = Vec::new();
+    for late in ["", "amber", "amber birch"] {
+        for i in 0..30 {
+            let a = h.ask(0, &format!("page/{i}"));
+            let took = if late.contains(&h.last_asked()) { 10_000 } else { 1000 };
+            a.shot_ended(&mut h.router, 0, Ending::Resolved, took, true, &mut h.trace);
+        }
+        away.push(owners(&mut h).iter().filter(|id| *id == "birch").count().to_string());
+    }
+    expect!["0, then 93, then 7 of 200 away"].assert_eq(&format!("{} of 200 away", away.join(", then ")));
+}
+
 #[test]
 fn failing_fetches_behind_caches_spare_the_keys_that_are_kept() {
     let mut h = house(&[("through", "1")]);
--- a/crates/policy/tests/helper/mod.rs
+++ b/crates/policy/tests/helper/mod.rs
@@ -142,6 +142,11 @@
         cache.map_or(said.trim().to_string(), |c| self.ids[c].clone())
     }
 
+    pub fn last_asked(&self) -> String {
+        let said = self.trace.0.rsplit("cache ").next().and_then(|rest| rest.trim().parse::<usize>().ok());
+        said.map_or(String::new(), |c| self.ids[c].clone())
+    }
+
     pub fn told(&mut self) -> String {
         std::mem::take(&mut self.trace.0)
     }
