--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -73,8 +73,8 @@
         let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(own);
         let late = took > if from_cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
-            Ending::Resolved | Ending::Miss if !late && company * 200 > c.room => c.room += 16,
-            Ending::Resolved | Ending::Miss | Ending::TimedOut if late => c.room -= c.room / 8,
+            Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
+            Ending::Resolved | Ending::TimedOut if late => c.room -= c.room / 8,
             Ending::Full => c.room -= c.room / 4,
             _ => {}
         }
