--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -434,7 +434,7 @@
         l.shots.push(Shot { cache, sent, company, out: true, may_have_run: true, bad: false, fresh });
         out.shoot(lkp, cache, l.expires);
         if Some(cache) != self.origin {
-            out.wake(lkp.0, hush.min(l.useful_until.saturating_sub(sent) / 2) + 1);
+            out.wake(lkp.0, hush + 1);
         }
     }
 
@@ -549,15 +549,12 @@
         if Some(cache) == self.origin || self.now >= l.useful_until {
             return;
         }
-        let silent = self.caches[cache].owes_since <= sent && self.silent(cache);
-        // Half of its time is gone: guards urgent lookups against the queue of a cache that answers others.
-        let half_gone = self.house.second_copies && self.now >= sent + (l.useful_until - sent) / 2;
-        if !silent && !(half_gone && l.shots.iter().filter(|s| s.out).count() == 1) {
+        if self.caches[cache].owes_since > sent || !self.silent(cache) {
             return out.wake(token, hush + 1);
         }
         // Nothing has come from this cache since the shot: guards against caches that hang, vanish or pause.
         // One silence is one failure, however many shots it holds up: a pause is no hang.
-        if silent && !std::mem::replace(&mut self.caches[cache].hushed, true) {
+        if !std::mem::replace(&mut self.caches[cache].hushed, true) {
             self.judge(cache, Ending::TimedOut, out);
         }
         if self.house.second_copies {
