--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -73,10 +73,9 @@
         let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(own);
         let late = took > if from_cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
-            Ending::Resolved if !late && !from_cache => c.room += 1 + c.room / 50,
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
             Ending::Resolved | Ending::TimedOut if late => c.room -= c.room / 8,
-            Ending::Full | Ending::Unreachable => c.room -= c.room / 4,
+            Ending::Full => c.room -= c.room / 4,
             _ => {}
         }
         c.room = c.room.clamp(10, 10_000);
