--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -113,7 +113,6 @@
     origin: Option<Cache>,
     lookups: HashMap<u64, Lookup>,
     taken: u64,
-    taken_lately: u64, // halved each second
     fetches: HashMap<u64, Vec<Lkp>>,
     times: Tally,
     held_late: u64,          // ten-thousandths of the answers from what a cache held
@@ -124,7 +123,6 @@
     faded: Tenths,
     spare: u64,
     watch_fails: u32,
-    zone_fails: BTreeMap<usize, u64>, // shots in a row that a zone's caches left without a word, fading
 }
 
 impl Router {
@@ -142,7 +140,6 @@
         while self.faded + SECOND <= now {
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
             self.times.fade();
-            self.taken_lately /= 2;
             // Keys are remembered for 4 to 8 s: longer, and too many pass whose copy is gone by then.
             if (self.faded / SECOND).is_multiple_of(4) {
                 self.kept.swap(0, 1);
@@ -150,7 +147,6 @@
             }
             self.away -= self.away.div_ceil(16);
             self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
-            self.zone_fails.values_mut().for_each(|fails| *fails = fails.saturating_sub(1));
             for c in &mut self.caches {
                 if c.credit < 1000 {
                     c.credit += self.house.cold_floor; // or a fleet all cold would stay so
@@ -302,10 +298,7 @@
         let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
         zone.into_iter().find(|&cache| {
             let c = &self.caches[cache];
-            // Three in a row: guards against a zone that is lost or cut off, which one of many proxies would
-            // else find out cache by cache.
-            let cut = self.zone_fails.get(&c.zone).is_some_and(|fails| *fails >= 3);
-            let trusted = !c.left && !cut && (c.doubt < 6 || c.out == 0);
+            let trusted = !c.left && (c.doubt < 6 || c.out == 0);
             (trusted || none_trusted)
                 && c.out < cap
                 && (care == 0 || !self.silent(cache))
@@ -327,7 +320,6 @@
     pub fn take(&mut self, ns: usize, key: &str, write: bool, expires: Tenths) -> Lkp {
         let lkp = Lkp(self.taken);
         self.taken += 1;
-        self.taken_lately += 1;
         // A fifth of all lookups may be sent once more, and a few dozen in a row: enough for a cache that
         // fails until it is left, too little for a retry storm.
         self.spare = (self.spare + 2).min(400);
@@ -399,8 +391,7 @@
     /// The origin is short: fewer copies of a key leave room for more keys, so by and by lookups go to the
     /// ring of all zones. Guards an origin that every zone by itself would ask for the same keys.
     fn spare_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
-        // By the share sent away, whatever this proxy's part of the traffic: one in twenty, and all keys go there.
-        self.pooled = (self.pooled + 200u64.div_ceil(self.taken_lately.max(2))).min(100);
+        self.pooled = (self.pooled + 2).min(100);
         self.give_up(lkp, out);
     }
 
@@ -504,14 +495,6 @@
     /// that nothing listens: a fast failer holds little, never meets the cap and would keep its keys.
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
         let c = &mut self.caches[cache];
-        if Some(cache) != self.origin {
-            let fails = self.zone_fails.entry(c.zone).or_default();
-            *fails = match ending {
-                Ending::Unreachable | Ending::Broken | Ending::TimedOut => (*fails + 1).min(8),
-                Ending::Withdrawn | Ending::Unsent => *fails,
-                _ => 0,
-            };
-        }
         c.doubt = match ending {
             Ending::Resolved | Ending::Miss => c.doubt.saturating_sub(1),
             Ending::Full | Ending::Withdrawn | Ending::Unsent => c.doubt,
@@ -539,7 +522,6 @@
             return self.leave(cache, out);
         }
         (c.left, c.doubt) = (false, 7);
-        self.zone_fails.remove(&c.zone);
         out.log(&format!("cache {} tried again", c.id));
     }
 
