--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -113,6 +113,7 @@
     origin: Option<Cache>,
     lookups: HashMap<u64, Lookup>,
     taken: u64,
+    taken_lately: u64, // halved each second
     fetches: HashMap<u64, Vec<Lkp>>,
     times: Tally,
     held_late: u64,          // ten-thousandths of the answers from what a cache held
@@ -140,6 +141,7 @@
         while self.faded + SECOND <= now {
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
             self.times.fade();
+            self.taken_lately /= 2;
             // Keys are remembered for 4 to 8 s: longer, and too many pass whose copy is gone by then.
             if (self.faded / SECOND).is_multiple_of(4) {
                 self.kept.swap(0, 1);
@@ -320,6 +322,7 @@
     pub fn take(&mut self, ns: usize, key: &str, write: bool, expires: Tenths) -> Lkp {
         let lkp = Lkp(self.taken);
         self.taken += 1;
+        self.taken_lately += 1;
         // A fifth of all lookups may be sent once more, and a few dozen in a row: enough for a cache that
         // fails until it is left, too little for a retry storm.
         self.spare = (self.spare + 2).min(400);
@@ -391,7 +394,8 @@
     /// The origin is short: fewer copies of a key leave room for more keys, so by and by lookups go to the
     /// ring of all zones. Guards an origin that every zone by itself would ask for the same keys.
     fn spare_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
-        self.pooled = (self.pooled + 2).min(100);
+        // By the share sent away, whatever this proxy's part of the traffic: one in twenty, and all keys go there.
+        self.pooled = (self.pooled + 150u64.div_ceil(self.taken_lately.max(2))).min(100);
         self.give_up(lkp, out);
     }
 
