--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -87,6 +87,25 @@
     }
 }
 
+/// What this proxy knows of one cache (or of the origin).
+#[derive(Default)]
+pub(crate) struct Known {
+    pub id: String,
+    pub zone: usize,
+    pub cell: u64,
+    pub standing: Standing,
+    pub born: Tenths,
+    pub out: u64,           // own shots in flight
+    pub owes_since: Tenths, // last answer, or the first shot since nothing was out
+    pub hushed: bool,       // the present silence was counted
+    pub doubt: u64,         // up by 3 for a failure, down by 1 for an answer
+    pub left: bool,
+    pub stay: Tenths,   // how long it is left alone next
+    pub lately: Tenths, // what its answers took, the last counting most
+    pub room: u64,      // hundredths of a shot that it takes at once without being late
+    pub credit: u64,    // while it is cold: thousandths of a shot that it may still be sent
+}
+
 /// The way out: what a router wants done, each at the moment of the call.
 pub trait Carrier {
     fn shoot(&mut self, lkp: Lkp, cache: Cache, until: Tenths);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -6,7 +6,7 @@
 //! as things happen to it. `woken` and `probed` bring back what the router asked for. What it wants done
 //! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
 
-use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Lkp, Lookup, Namespace, Shot, Standing};
+use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Known, Lkp, Lookup, Namespace, Shot, Standing};
 use crate::plain::{Tally, Tenths, mixed, point};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -82,25 +82,6 @@
     }
 }
 
-/// What this proxy knows of one cache (or of the origin).
-#[derive(Default)]
-struct Known {
-    id: String,
-    zone: usize,
-    cell: u64,
-    standing: Standing,
-    born: Tenths,
-    out: u64,           // own shots in flight
-    owes_since: Tenths, // last answer, or the first shot since nothing was out
-    hushed: bool,       // the present silence was counted
-    doubt: u64,         // up by 3 for a failure, down by 1 for an answer
-    left: bool,
-    stay: Tenths,   // how long it is left alone next
-    lately: Tenths, // what its answers took, the last counting most
-    room: u64,      // hundredths of a shot that it takes at once without being late
-    credit: u64,    // while it is cold: thousandths of a shot that it may still be sent
-}
-
 #[derive(Default)]
 pub struct Router {
     now: Tenths,
