Defer a part of all lookups while over one in four cache answers is late

Cause: a cache's room is found out by one proxy from its own answers; one of hundreds hears of each cache every few seconds, so rooms of eight shots each stay as they are, queues outgrow the target of catalogue pages (300 ms), and half of what the caches do is for clients that have gone. Now one share is learned from the answers of all caches: an eighth down for each late, a twenty-fifth up for each in time, all again within 20 s. What is beyond it is deferred at once.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -94,6 +94,7 @@
     origin: Option<Cache>,
     lookups: HashMap<u64, Lookup>,
     taken: u64,
+    admitted: u64,     // thousandths of the lookups that go to caches at all
     taken_lately: u64, // halved each second
     fetches: HashMap<u64, Vec<Lkp>>,
     times: Tally,
@@ -113,7 +114,15 @@
         if said.get("watched").is_some_and(|w| w == "1") {
             out.watch();
         }
-        Router { house, chance, fetch_share: [0, 10_000], fetch_room: 3000, spare: 50, ..Router::default() }
+        Router {
+            house,
+            chance,
+            fetch_share: [0, 10_000],
+            fetch_room: 3000,
+            admitted: 1000,
+            spare: 50,
+            ..Router::default()
+        }
     }
 
     pub fn clock(&mut self, now: Tenths) {
@@ -123,6 +132,7 @@
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
             self.times.fade();
             self.taken_lately /= 2;
+            self.admitted = (self.admitted + 50).min(1000); // within 20 s whatever is heard
             // Keys are remembered for 4 to 8 s: longer, and too many pass whose copy is gone by then.
             if (self.faded / SECOND).is_multiple_of(4) {
                 self.kept.swap(0, 1);
@@ -324,6 +334,10 @@
         if l.write && self.house.origin_kind.is_some() {
             return self.ask_origin(lkp, out);
         }
+        // Guards caches that all are late: one of many proxies hears too little of each to find its room.
+        if l.shots.is_empty() && l.luck * 10 >= self.admitted {
+            return self.give_up(lkp, out);
+        }
         // Guards the origin behind the caches: when fetches fail or come late, lookups for keys that are not
         // known to be held are deferred.
         let fetching: u64 = (0..2).map(|i| self.fetches_out[i] * self.fetch_share[i] / 100).sum();
@@ -622,6 +636,12 @@
         }
         // Guards against a zone that is asked for more than its caches can do while others have time: where more
         // than one in nine answers is late, keys are asked of the other zones, unless those are late as well.
+        if from_cache && matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
+            // An eighth down and a twenty-fifth up hold all lookups while up to one in four is late.
+            let late = took >= target || ending == Ending::TimedOut;
+            router.admitted =
+                if late { router.admitted * 7 / 8 } else { (router.admitted + 40).min(1000) }.max(100);
+        }
         let own_zone = router.caches[cache].zone == router.house.zone;
         if from_cache && matches!(ending, Ending::Resolved | Ending::TimedOut) {
             router.away = match took >= target {
