Leave a cache at its second silence, one shot at a time after the first

Cause: a hung or vanished cache had to be silent three times before one proxy left it; each silence costs a wait of up to 1.5 s, and one of hundreds of proxies meets a given cache every few seconds.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -552,8 +552,9 @@
             return out.wake(token, hush + 1);
         }
         // Nothing has come from this cache since the shot: guards against caches that hang, vanish or pause.
-        // One silence is one failure, however many shots it holds up: a pause is no hang.
+        // One silence counts once, however many shots it holds up: a pause is no hang.
         if !std::mem::replace(&mut self.caches[cache].hushed, true) {
+            self.caches[cache].doubt += 3; // one shot at a time from here on, and left at a second silence
             self.judge(cache, Ending::TimedOut, out);
         }
         if self.house.second_copies {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -103,6 +103,8 @@
         log: cache birch left
         wake in 551 ms
         lookup 0 abandoned
+        log: cache delta left
+        wake in 573 ms
         lookup 1 abandoned
     "#]]
     .assert_eq(&h.told());
@@ -281,21 +283,31 @@
 }
 
 #[test]
-fn a_silent_cache_gets_a_second_copy_elsewhere_and_is_passed() {
+fn a_silent_cache_is_passed_with_a_second_copy_elsewhere_and_left_at_its_second_silence() {
     let mut h = house(&[]);
     h.ready(&FOUR);
     let key = key_of(&mut h, "delta");
     h.told();
-    let a = h.ask(0, &key);
-    h.pass(3000);
-    h.wake(a.0);
-    h.ask(0, &key);
-    h.end(a, 1, Ending::Resolved);
+    for _ in 0..2 {
+        let a = h.ask(0, &key);
+        h.pass(3000);
+        h.wake(a.0);
+        let b = h.ask(0, &key);
+        h.end(b, 0, Ending::Resolved);
+        h.end(a, 1, Ending::Resolved);
+        h.end(a, 0, Ending::Withdrawn);
+    }
     expect![[r#"
         lookup 9 -> cache 3
         lookup 9 -> cache 2
         lookup 10 -> cache 2
         lookup 9 withdraws shot 0
+        lookup 11 -> cache 3
+        log: cache delta left
+        wake in 545 ms
+        lookup 11 -> cache 2
+        lookup 12 -> cache 2
+        lookup 11 withdraws shot 0
     "#]]
     .assert_eq(&h.told());
 }
