Let the origin admit a share of misses and writes by its late answers

A room of eight at each of 600 proxies is no limit, and each hears from the store twice a second. The share learned for the caches is now learned for the origin too.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -91,10 +91,10 @@
     rings: [Vec<(u64, Cache)>; 3], // of the own zone, of the others, of all
     pooled: u64,                   // hundredths of the keys that are looked up on the ring of all zones
     away: u64,                     // thousandths of the keys that are asked of other zones first
+    admitted: [u64; 2], // thousandths of the lookups that go to caches at all, and of those to the origin
     origin: Option<Cache>,
     lookups: HashMap<u64, Lookup>,
     taken: u64,
-    admitted: u64,     // thousandths of the lookups that go to caches at all
     taken_lately: u64, // halved each second
     fetches: HashMap<u64, Vec<Lkp>>,
     times: Tally,
@@ -119,7 +119,7 @@
             chance,
             fetch_share: [0, 10_000],
             fetch_room: 3000,
-            admitted: 1000,
+            admitted: [1000; 2],
             spare: 50,
             ..Router::default()
         }
@@ -132,7 +132,7 @@
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
             self.times.fade();
             self.taken_lately /= 2;
-            self.admitted = (self.admitted + 50).min(1000); // within 20 s whatever is heard
+            self.admitted = self.admitted.map(|part| (part + 50).min(1000)); // within 20 s whatever is heard
             // Keys are remembered for 4 to 8 s: longer, and too many pass whose copy is gone by then.
             if (self.faded / SECOND).is_multiple_of(4) {
                 self.kept.swap(0, 1);
@@ -334,8 +334,8 @@
         if l.write && self.house.origin_kind.is_some() {
             return self.ask_origin(lkp, out);
         }
-        // Guards caches that all are late: one of many proxies hears too little of each to find its room.
-        if l.shots.is_empty() && l.luck * 10 >= self.admitted {
+        // Guards caches that are late together: one of many proxies hears too little of each to find its room.
+        if l.shots.is_empty() && l.luck * 10 >= self.admitted[0] {
             return self.give_up(lkp, out);
         }
         // Guards the origin behind the caches: when fetches fail or come late, lookups for keys that are not
@@ -359,7 +359,7 @@
     /// Learns from a shot's end how many fetches the origin behind the caches takes, and which keys are kept.
     fn fetch_ended(&mut self, key: u64, fresh: bool, fetched: Option<bool>, ending: Ending, vain: bool) {
         self.fetches_out[usize::from(fresh)] -= 1;
-        // One of many proxies has resolved little of what a cache holds: the cache's own word tells the share.
+        // One of many proxies has resolved little of what a cache holds: the cache's word tells the share.
         if let Some(fetched) = fetched {
             let share = &mut self.fetch_share[usize::from(fresh)];
             *share = (*share * 31 + if fetched { 10_000 } else { 0 }) / 32;
@@ -389,7 +389,7 @@
     /// The origin is short: fewer copies of a key leave room for more keys, so by and by lookups go to the
     /// ring of all zones. Guards an origin that every zone by itself would ask for the same keys.
     fn spare_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
-        // By the share sent away, whatever this proxy's part of the traffic: one in twenty, and all keys go there.
+        // By the share sent away, whatever this proxy's traffic: one in twenty, and all keys go there.
         self.pooled = (self.pooled + 150u64.div_ceil(self.taken_lately.max(2))).min(100);
         self.give_up(lkp, out);
     }
@@ -409,7 +409,7 @@
             return out.wake(lkp.0, left);
         }
         let o = &self.caches[origin];
-        if o.out * 100 + l.luck >= o.room || o.lately > left {
+        if o.out * 100 + l.luck >= o.room || o.lately > left || l.luck * 10 >= self.admitted[1] {
             return self.spare_origin(lkp, out);
         }
         if !l.write {
@@ -635,14 +635,14 @@
         if !(fresh && ending == Ending::Error || ending == Ending::TimedOut && !silent) {
             router.judge(cache, ending, out);
         }
-        // Guards against a zone that is asked for more than its caches can do while others have time: where more
-        // than one in nine answers is late, keys are asked of the other zones, unless those are late as well.
-        if from_cache && matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
+        if matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
             // An eighth down and a twenty-fifth up hold all lookups while up to one in four is late.
-            let late = took >= target || ending == Ending::TimedOut;
-            router.admitted =
-                if late { router.admitted * 7 / 8 } else { (router.admitted + 40).min(1000) }.max(100);
+            let (part, late) = (&mut router.admitted[usize::from(!from_cache)], took >= target);
+            let late = late || ending == Ending::TimedOut;
+            *part = if late { *part * 7 / 8 } else { (*part + 40).min(1000) }.max(100);
         }
+        // Guards against a zone that is asked for more than its caches can do while others have time: where
+        // over one in nine answers is late, keys are asked of other zones, unless those are late as well.
         let own_zone = router.caches[cache].zone == router.house.zone;
         if from_cache && matches!(ending, Ending::Resolved | Ending::TimedOut) {
             router.away = match took >= target {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -399,17 +399,20 @@
 
 #[test]
 fn where_over_one_in_four_is_late_some_are_deferred_at_once() {
-    let deferred = [10, 5, 2].map(|one_in| {
-        let mut h = house(&[]);
-        h.ready(&FOUR);
+    let deferred = [(10, false), (5, false), (2, false), (2, true)].map(|(one_in, at_origin)| {
+        let mut h = house(if at_origin { &ASIDE } else { &[] });
+        h.ready(&["amber", "birch", "cedar", "origin"]);
         for i in 0..200 {
             let a = h.ask(0, &format!("page/{i}"));
-            let took = if i % one_in == 0 { 10_000 } else { 1000 };
-            a.shot_ended(&mut h.router, 0, Ending::Resolved, took, true, &mut h.trace);
+            if at_origin {
+                h.end(a, 0, Ending::Miss);
+            }
+            let (shot, took) = (usize::from(at_origin), if i % one_in == 0 { 10_000 } else { 1000 });
+            a.shot_ended(&mut h.router, shot, Ending::Resolved, took, true, &mut h.trace);
         }
         h.told().matches("deferred").count()
     });
-    expect!["[1, 9, 130] of 200 deferred"].assert_eq(&format!("{deferred:?} of 200 deferred"));
+    expect!["[1, 9, 130, 130] of 200 deferred"].assert_eq(&format!("{deferred:?} of 200 deferred"));
 }
 
 #[test]
