--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -334,7 +334,7 @@
         if l.write && self.house.origin_kind.is_some() {
             return self.ask_origin(lkp, out);
         }
-        // Guards caches that are late together: one of many proxies hears too little of each to find its room.
+        // Guards caches late together: one of many proxies hears too little of each to find its room.
         if l.shots.is_empty() && l.luck * 10 >= self.admitted[0] {
             return self.give_up(lkp, out);
         }
