--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -552,9 +552,8 @@
             return out.wake(token, hush + 1);
         }
         // Nothing has come from this cache since the shot: guards against caches that hang, vanish or pause.
-        // One silence counts once, however many shots it holds up: a pause is no hang.
+        // One silence is one failure, however many shots it holds up: a pause is no hang.
         if !std::mem::replace(&mut self.caches[cache].hushed, true) {
-            self.caches[cache].doubt += 3; // one shot at a time from here on, and left at a second silence
             self.judge(cache, Ending::TimedOut, out);
         }
         if self.house.second_copies {
@@ -636,10 +635,10 @@
             router.judge(cache, ending, out);
         }
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
-            // An eighth down and a twenty-fifth up hold all lookups while up to one in four is late.
+            // An eighth down and a seventeenth up hold all lookups while up to one in three is late.
             let (part, late) = (&mut router.admitted[usize::from(!from_cache)], took >= target);
             let late = late || ending == Ending::TimedOut;
-            *part = if late { *part * 7 / 8 } else { (*part + 40).min(1000) }.max(100);
+            *part = if late { *part * 7 / 8 } else { (*part + 60).min(1000) }.max(100);
         }
         // Guards against a zone that is asked for more than its caches can do while others have time: where
         // over one in nine answers is late, keys are asked of other zones, unless those are late as well.
