Keep fetch learning where caches fetch, and say each measure once

Houses whose caches do not fetch no longer fill a set of keys that nothing reads; the share of held answers that are late is learned beside the share fetched, by one formula; judge names every ending again, so that a new one cannot count as a failure unseen. The tests count a cache's keys in one place.

--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -167,12 +167,12 @@
         let router = &mut self.router;
         match kind {
             "DONE" => {
-                let (shot, mut how) = (whole(event, "trial")?, ending(text(event, "reason")?)?);
+                let (shot, reason) = (whole(event, "trial")?, ending(text(event, "reason")?)?);
                 let took = whole(event, "latencyNs")? / NS_PER_TENTH;
-                how = match (whole_or(event, "info", 0)?, how) {
-                    (1, Ending::Resolved) => Ending::Held,
-                    (2, Ending::Resolved) => Ending::Fetched,
-                    _ => how,
+                let how = match (reason, whole_or(event, "info", 0)?) {
+                    (Ending::Resolved, 1) => Ending::Held,
+                    (Ending::Resolved, 2) => Ending::Fetched,
+                    (reason, _) => reason,
                 };
                 let finished = flag(event, "finished")?;
                 if let Some((_, lkp)) = lkp {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -58,7 +58,6 @@
             // Four shots from all proxies together: at their present worst cold caches bear twice that.
             cold_floor: 4000 / (num("proxies", 1.0) as u64).max(4),
             through: num("through", 0.0) > 0.0,
-
             origin_kind: (!word("origin kind").is_empty()).then(|| num("origin kind", 0.0) as usize),
             namespaces: (0..num("namespaces", 0.0) as usize).map(namespace).collect(),
         }
@@ -359,10 +358,17 @@
     /// Learns from a shot's end how many fetches the origin behind the caches takes, and which keys are kept.
     fn fetch_ended(&mut self, key: u64, fresh: bool, fetched: Option<bool>, ending: Ending, vain: bool) {
         self.fetches_out[usize::from(fresh)] -= 1;
+        if !self.house.through {
+            return;
+        }
+        let leaning = |share: u64, to: bool| (share * 31 + if to { 10_000 } else { 0 }) / 32;
+        if fetched == Some(false) {
+            self.held_late = leaning(self.held_late, vain);
+        }
         // One of many proxies has resolved little of what a cache holds: the cache's word tells the share.
         if let Some(fetched) = fetched {
             let share = &mut self.fetch_share[usize::from(fresh)];
-            *share = (*share * 31 + if fetched { 10_000 } else { 0 }) / 32;
+            *share = leaning(*share, fetched);
         }
         if fetched.unwrap_or(fresh) || ending == Ending::Error {
             self.fetch_room = match ending {
@@ -495,10 +501,10 @@
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
         let c = &mut self.caches[cache];
         c.doubt = match ending {
-            Ending::Resolved | Ending::Miss => c.doubt.saturating_sub(1),
+            Ending::Resolved | Ending::Held | Ending::Fetched | Ending::Miss => c.doubt.saturating_sub(1),
             Ending::Full | Ending::Withdrawn | Ending::Unsent => c.doubt,
             Ending::Unreachable | Ending::Broken => c.doubt + 9,
-            _ => c.doubt + 3,
+            Ending::Error | Ending::TimedOut => c.doubt + 3,
         };
         if c.doubt >= 9 && !c.left && Some(cache) != self.origin {
             self.leave(cache, out);
@@ -620,9 +626,6 @@
         }
         if ending == Ending::Resolved && from_cache {
             router.times.add(took);
-            if fetched == Some(false) {
-                router.held_late = (router.held_late * 31 + if took >= target { 10_000 } else { 0 }) / 32;
-            }
         }
         router.house.resize(c, ending, took, company, l.ns, from_cache);
         let key = (l.leads && !from_cache).then_some(l.key);
@@ -636,8 +639,8 @@
         }
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
             // An eighth down and a seventeenth up hold all lookups while up to one in three is late.
-            let (part, late) = (&mut router.admitted[usize::from(!from_cache)], took >= target);
-            let late = late || ending == Ending::TimedOut;
+            let late = took >= target || ending == Ending::TimedOut;
+            let part = &mut router.admitted[usize::from(!from_cache)];
             *part = if late { *part * 7 / 8 } else { (*part + 60).min(1000) }.max(100);
         }
         // Guards against a zone that is asked for more than its caches can do while others have time: where
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -12,6 +12,11 @@
     (0..200).map(|i| house.owner(&format!("book/{i}"))).collect()
 }
 
+/// How many of the 200 keys go to birch.
+fn of_birch(house: &mut House) -> usize {
+    owners(house).iter().filter(|id| *id == "birch").count()
+}
+
 /// A key for each cache of `FOUR`, found by asking.
 fn key_of(house: &mut House, id: &str) -> String {
     (0..999).map(|i| format!("page/{i}")).find(|key| house.owner(key) == id).unwrap()
@@ -175,12 +180,11 @@
     h.pass(200_000);
     let mut rows = FOUR.map(|id| (id, 0, Standing::Ready, 0));
     h.list(&rows);
-    let warm = owners(&mut h);
+    let warm = of_birch(&mut h);
     rows[1].3 = h.now;
     h.list(&rows);
-    let cold = owners(&mut h);
-    let of_birch = |all: &[String]| all.iter().filter(|id| *id == "birch").count();
-    expect!["53 warm, 13 cold"].assert_eq(&format!("{} warm, {} cold", of_birch(&warm), of_birch(&cold)));
+    let cold = of_birch(&mut h);
+    expect!["53 warm, 13 cold"].assert_eq(&format!("{warm} warm, {cold} cold"));
     // All cold and nothing answered: one shot each in a house of four proxies, and the rest is deferred. In a
     // house of 16 each has its part of those shots.
     let sent = ["4", "16"].map(|proxies| {
@@ -365,22 +369,18 @@
         ("birch", 1, Standing::Ready, 0),
         ("origin", 1, Standing::Ready, 0),
     ]);
-    let before = owners(&mut h);
+    let before = of_birch(&mut h);
     for i in 0..120 {
         let a = h.ask(0, &format!("page/{i}"));
         h.end(a, 0, Ending::Miss);
         h.end(a, 1, Ending::Full);
     }
     let deferred = h.told().matches("deferred").count();
-    let after = owners(&mut h);
-    let away = |all: &[String]| all.iter().filter(|id| *id == "birch").count();
-    expect!["120 deferred, 0 then 110 away"].assert_eq(&format!(
-        "{deferred} deferred, {} then {} away",
-        away(&before),
-        away(&after)
-    ));
+    let after = of_birch(&mut h);
+    expect!["120 deferred, 0 then 110 away"]
+        .assert_eq(&format!("{deferred} deferred, {before} then {after} away"));
     (0..60).for_each(|_| h.pass(10_000));
-    expect!["0"].assert_eq(&away(&owners(&mut h)).to_string());
+    expect!["0"].assert_eq(&of_birch(&mut h).to_string());
 }
 
 #[test]
@@ -425,10 +425,10 @@
     for late in ["", "amber", "amber birch"] {
         for i in 0..30 {
             let a = h.ask(0, &format!("page/{i}"));
-            let took = if late.contains(&h.last_asked()) { 10_000 } else { 1000 };
+            let took = if h.last_asked().is_some_and(|id| late.contains(&id)) { 10_000 } else { 1000 };
             a.shot_ended(&mut h.router, 0, Ending::Resolved, took, true, &mut h.trace);
         }
-        away.push(owners(&mut h).iter().filter(|id| *id == "birch").count().to_string());
+        away.push(of_birch(&mut h).to_string());
     }
     expect!["0, then 93, then 9 of 200 away"].assert_eq(&format!("{} of 200 away", away.join(", then ")));
 }
--- a/crates/policy/tests/helper/mod.rs
+++ b/crates/policy/tests/helper/mod.rs
@@ -137,14 +137,14 @@
         let kept = std::mem::take(&mut self.trace);
         let lkp = self.ask(0, key);
         self.end(lkp, 0, Ending::Resolved);
+        let asked = self.last_asked();
         let said = std::mem::replace(&mut self.trace, kept).0;
-        let cache = said.split("cache ").nth(1).and_then(|rest| rest.trim().parse::<usize>().ok());
-        cache.map_or(said.trim().to_string(), |c| self.ids[c].clone())
+        asked.unwrap_or(said.trim().to_string())
     }
 
-    pub fn last_asked(&self) -> String {
-        let said = self.trace.0.rsplit("cache ").next().and_then(|rest| rest.trim().parse::<usize>().ok());
-        said.map_or(String::new(), |c| self.ids[c].clone())
+    pub fn last_asked(&self) -> Option<String> {
+        let cache = self.trace.0.rsplit("cache ").next()?.trim().parse::<usize>().ok()?;
+        Some(self.ids[cache].clone())
     }
 
     pub fn told(&mut self) -> String {
