One broken connection or spoilt answer no longer leaves a cache

Checked: the report counts 92 answers that broke off, 154 resets and 335 spoilt answers, about as many as there were leaves; no other ending adds 9 doubts at once but a refused connection, and there were 10 of those. At fault: `judge`, which took each broken connection for a cache on which nothing listens, and `send`, which then closed all idle connections to it. A cache whose process died refuses the next connection and is left by that.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -500,15 +500,15 @@
 
     // ---- health ----
 
-    /// Doubt grows where more than one in four fails, and is enough after three in a row or at the first sign
-    /// that nothing listens: a fast failer holds little, never meets the cap and would keep its keys.
+    /// Doubt grows where over one in four fails, and is enough after three in a row or when nothing listens: a
+    /// fast failer holds little and would keep its keys. One broken connection is no reason to leave a cache.
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
         let c = &mut self.caches[cache];
         c.doubt = match ending {
             Ending::Resolved | Ending::Held | Ending::Fetched | Ending::Miss => c.doubt.saturating_sub(1),
             Ending::Full | Ending::Withdrawn | Ending::Unsent => c.doubt,
-            Ending::Unreachable | Ending::Broken => c.doubt + 9,
-            Ending::Error | Ending::TimedOut => c.doubt + 3,
+            Ending::Unreachable => c.doubt + 9,
+            Ending::Error | Ending::TimedOut | Ending::Broken => c.doubt + 3,
         };
         if c.doubt >= 9 && !c.left && Some(cache) != self.origin {
             self.leave(cache, out);
--- a/crates/proxy/src/caches/send.rs
+++ b/crates/proxy/src/caches/send.rs
@@ -30,7 +30,7 @@
     let (ending, answer) = wait_until(end, shot_through).await.unwrap_or_else(|| cut(Ending::TimedOut));
     // The connection is closed, unless it is back in the pool, before the router hears of the ending.
     line.hold(None);
-    if matches!(ending, Ending::Unreachable | Ending::Broken) {
+    if ending == Ending::Unreachable {
         proxy.pool.forget(cache);
     }
     let took = proxy.clock.now() - begun;
