SIGHUP reads the configuration again and moves the list's address at once

At fault: proxy.rs heard SIGTERM and SIGINT only. Now SIGHUP is a step of its own: a file that reads well moves the list's address, the running watch is dropped and the whole list asked at the new one at once; a bad file is a log line. What is known stays, and `known` of the file, older than what was told, is not read. The list's connection has a descriptor of its own now: it waited behind shots for a place before.

--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -1,4 +1,4 @@
-//! One budget of descriptors for clients, shots, the pool and the list. Idle ones go first.
+//! One budget of descriptors for clients, shots and the pool. Idle ones go first.
 
 use crate::caches::pool::Pool;
 use crate::proxy::within;
@@ -16,13 +16,13 @@
 const JUST_USED: Duration = Duration::from_millis(50);
 
 /// What is open besides: standard streams, epoll, its timer and event, the signals' pair, the listener, 11 in all as
-/// counted; one connection that waits for its place, and two to spare.
-const BESIDES: usize = 14;
+/// counted; the list's connection, which waits for no place; one that waits for its place, and two to spare.
+const BESIDES: usize = 15;
 
 pub type Permit = SemaphoreGuardArc;
 
 pub struct Budget {
-    out: Arc<Semaphore>, // connections to caches and the list
+    out: Arc<Semaphore>, // connections to caches
     clients: Arc<Semaphore>,
     turned_away: Arc<Semaphore>, // clients that came when all of the others were busy
     // Client connections with nothing to do, the longest idle first.
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Waits for a place for a connection to a cache or the list; what is idle there makes room.
+    /// Waits for a place for a connection to a cache; what is idle there makes room.
     pub async fn take(&self, pool: &Pool) -> Permit {
         loop {
             if let Some(place) = self.out.try_acquire_arc() {
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -1,7 +1,6 @@
 //! The peer "list": which caches there are. Starts from what was known, then the whole list and a watch.
 
 use crate::book::{Book, Desk};
-use crate::budget::Permit;
 use crate::http;
 use crate::proxy::{Proxy, within};
 use crate::rules::address;
@@ -11,6 +10,7 @@
 use slog::warn;
 use smol::Async;
 use smol::channel::Receiver;
+use smol::future::FutureExt;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,11 +31,6 @@
     pub off_since: Option<Tenths>, // draining or gone, as told
 }
 
-struct Link {
-    stream: Async<TcpStream>,
-    _permit: Permit,
-}
-
 #[derive(Default)]
 struct Held {
     version: u64,
@@ -114,10 +109,19 @@
 }
 
 /// Watches whenever the router asks for it, until a call fails; the router hears of that and asks again.
-pub async fn follow(proxy: Rc<Proxy>, asked: Receiver<()>) {
+pub async fn follow(proxy: Rc<Proxy>, asked: Receiver<()>, moved: Receiver<()>) {
     let mut held = Held::default();
-    while asked.recv().await.is_ok() {
-        let fault = watch(&proxy, &mut held).await;
+    while asked.recv().or(moved.recv()).await.is_ok() {
+        let fault = loop {
+            // A list that has moved is asked for all it has, at once: the old address may still hold a watch open.
+            let over = async { Some(watch(&proxy, &mut held).await) };
+            let elsewhere = async { moved.recv().await.err().map(|e| e.to_string()) };
+            if let Some(fault) = over.or(elsewhere).await {
+                break fault;
+            }
+        };
+        // Asked for before the watch failed, it was had.
+        _ = asked.try_recv();
         Book::tell(&proxy, |router, desk| router.watch_failed(desk));
         warn!(proxy.log, "list call failed"; "fault" => fault);
     }
@@ -151,21 +155,25 @@
 }
 
 /// One call; where a kept link turns out to be closed meanwhile, on a new one.
-async fn call(proxy: &Proxy, link: &mut Option<Link>, target: &str) -> Read<Value> {
-    if let Some(kept) = link.take().filter(|link| http::quiet(&link.stream))
+async fn call(proxy: &Proxy, link: &mut Option<Async<TcpStream>>, target: &str) -> Read<Value> {
+    if let Some(kept) = link.take().filter(http::quiet)
         && let Ok(said) = ask(proxy, kept, link, target).await
     {
         return said;
     }
-    let permit = proxy.budget.take(&proxy.pool).await;
-    let stream = Async::<TcpStream>::connect(proxy.rules.list).await;
+    let stream = Async::<TcpStream>::connect(proxy.list.get()).await;
     let stream = stream.map_err(|e| format!("no connection: {e}"))?;
-    ask(proxy, Link { stream, _permit: permit }, link, target).await?
+    ask(proxy, stream, link, target).await?
 }
 
 /// What the list says, or an `Err` outside if it said nothing whole.
-async fn ask(proxy: &Proxy, open: Link, link: &mut Option<Link>, target: &str) -> Read<Read<Value>> {
-    let answer = http::get(&open.stream, proxy.rules.list, target, LONGEST).await?;
+async fn ask(
+    proxy: &Proxy,
+    open: Async<TcpStream>,
+    link: &mut Option<Async<TcpStream>>,
+    target: &str,
+) -> Read<Read<Value>> {
+    let answer = http::get(&open, proxy.list.get(), target, LONGEST).await?;
     if answer.status != 200 {
         return Ok(Err(format!("answered {}", answer.status)));
     }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -8,13 +8,13 @@
 use crate::{caches, clients, list};
 use async_signal::{Signal, Signals};
 use chalkwalk_policy::Tenths;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::future::FutureExt;
 use smol::stream::StreamExt;
 use smol::{Async, LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -72,6 +72,8 @@
     pub log: Logger,
     pub sooner: Sender<()>, // a wake is due before the one that is waited for
     pub asked: Sender<()>,  // the router wants the list watched
+    pub list: Cell<SocketAddr>,
+    moved: Sender<()>, // the list has another address
     last: Cell<Option<Tenths>>,
     beat: Cell<Tenths>,       // when all that had come was last known to be heard
     pub clients: Cell<usize>, // their open connections
@@ -91,9 +93,10 @@
 const LONGEST_LIMIT: Tenths = 30_000;
 
 impl Proxy {
-    pub fn new(rules: HouseRules, log: Logger) -> (Rc<Proxy>, Receiver<()>, Receiver<()>) {
+    pub fn new(rules: HouseRules, log: Logger) -> (Rc<Proxy>, [Receiver<()>; 3]) {
         let (sooner, sooner_told) = bounded(1);
         let (asked, asked_told) = bounded(1);
+        let (moved, moved_told) = bounded(1);
         let clock = Clock::new();
         let proxy = Rc::new(Proxy {
             beat: Cell::new(clock.now()),
@@ -106,11 +109,13 @@
             log,
             sooner,
             asked,
+            list: Cell::new(rules.list),
+            moved,
             last: Cell::new(None),
             clients: Cell::new(0),
             rules,
         });
-        (proxy, sooner_told, asked_told)
+        (proxy, [sooner_told, asked_told, moved_told])
     }
 
     async fn keep_beat(self: Rc<Proxy>) {
@@ -137,15 +142,15 @@
 
     /// From the first phase to the last.
     pub fn run(rules: HouseRules, log: Logger, listener: TcpListener) -> Result<(), String> {
-        let (proxy, sooner, asked) = Proxy::new(rules, log);
+        let (proxy, [sooner, asked, moved]) = Proxy::new(rules, log);
         let doors = Async::new(listener).map_err(|e| format!("cannot listen: {e}"))?;
-        let signals = Signals::new([Signal::Term, Signal::Int]);
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
         let signals = signals.map_err(|e| format!("cannot hear signals: {e}"))?;
         let me = proxy.clone();
         smol::block_on(proxy.ex.run(async move {
             me.ex.spawn(me.clone().keep_beat()).detach();
             me.ex.spawn(me.clone().wakes(sooner)).detach();
-            me.ex.spawn(list::follow(me.clone(), asked)).detach();
+            me.ex.spawn(list::follow(me.clone(), asked, moved)).detach();
             me.ex.spawn(caches::pool::sweep(me.clone())).detach();
             me.open();
             let accepting = me.ex.spawn(clients::accept(me.clone(), doors));
@@ -156,9 +161,27 @@
         Ok(())
     }
 
+    /// Reads the configuration again: the list may have moved, and all else stays as it was at the start. What
+    /// the file knows of caches is as old as the file, and what the list has told since is newer.
+    fn reread(&self) {
+        match HouseRules::load(&self.rules.path) {
+            Ok(rules) => {
+                info!(self.log, "configuration read again"; "list" => %rules.list);
+                if self.list.replace(rules.list) != rules.list {
+                    _ = self.moved.try_send(());
+                }
+            }
+            Err(fault) => warn!(self.log, "new configuration passed over"; "fault" => fault),
+        }
+    }
+
     async fn leave(&self, mut signals: Signals, accepting: smol::Task<()>) {
-        while !matches!(signals.next().await, Some(Ok(_))) {
-            Timer::after(Duration::from_secs(1)).await;
+        loop {
+            match signals.next().await {
+                Some(Ok(Signal::Hup)) => self.reread(),
+                Some(Ok(_)) => break,
+                _ => _ = Timer::after(Duration::from_secs(1)).await,
+            }
         }
         let told = self.clock.now();
         let last = told + self.rules.longest_limit().min(LONGEST_LIMIT) + TO_THE_LAST;
--- a/crates/proxy/src/rules.rs
+++ b/crates/proxy/src/rules.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 pub struct HouseRules {
+    pub path: String, // read again when told to
     pub name: String,
     pub listen: SocketAddr,
     pub list: SocketAddr,
@@ -29,10 +30,10 @@
     pub fn load(path: &str) -> Read<HouseRules> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
         let said: Value = serde_json::from_str(&text).map_err(|e| format!("{path} is no JSON: {e}"))?;
-        HouseRules::read(object(&said, "the configuration")?)
+        HouseRules::read(path, object(&said, "the configuration")?)
     }
 
-    pub fn read(said: &Object) -> Read<HouseRules> {
+    fn read(path: &str, said: &Object) -> Read<HouseRules> {
         let settings = said.get("settings").ok_or("field settings: missing, expected an object")?;
         let house = house::read(object(settings, "field settings")?)?;
         let number = |name: &str, or: f64| house.rules.get(name).and_then(|v| v.parse().ok()).unwrap_or(or);
@@ -43,6 +44,7 @@
         let limits = said.get("limits").map_or(Ok(&nothing), |l| object(l, "field limits"))?;
         let seed = text_or(said, "seed", "0")?;
         Ok(HouseRules {
+            path: path.to_string(),
             name: text_or(said, "name", "")?.to_string(),
             listen: address(text(said, "listen")?, "field listen")?,
             list: address(text(said, "discovery")?, "field discovery")?,
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -113,6 +113,8 @@
 struct Day {
     told: Told,
     addr: SocketAddr,
+    lines: Vec<Value>,
+    path: String, // of the configuration
     proxy: Child,
     calls: Arc<AtomicUsize>, // to the list
 }
@@ -144,11 +146,18 @@
     json!({"version": version, "full": true, "servers": lines}).to_string()
 }
 
-fn run(configuration: &Value, before: &str) -> Child {
+fn a_file() -> String {
     static NTH: AtomicUsize = AtomicUsize::new(0);
     let nth = NTH.fetch_add(1, Ordering::SeqCst);
-    let path = format!("{}/{}-{nth}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
-    std::fs::write(&path, configuration.to_string()).unwrap();
+    format!("{}/{}-{nth}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id())
+}
+
+fn run(configuration: &Value, before: &str) -> Child {
+    run_from(&a_file(), configuration, before)
+}
+
+fn run_from(path: &str, configuration: &Value, before: &str) -> Child {
+    std::fs::write(path, configuration.to_string()).unwrap();
     let command = format!("{before} exec {} serve --config {path}", env!("CARGO_BIN_EXE_chalkwalk"));
     Command::new("sh").args(["-c", &command]).stderr(Stdio::piped()).spawn().unwrap()
 }
@@ -185,8 +194,9 @@
         let calls = Arc::new(AtomicUsize::new(0));
         list(listener, listed(&lines), calls.clone());
         let addr = own_address();
-        let proxy = run(&configuration(addr, list_addr, &lines, sockets), before);
-        let day = Day { told, addr, proxy, calls };
+        let path = a_file();
+        let proxy = run_from(&path, &configuration(addr, list_addr, &lines, sockets), before);
+        let day = Day { told, addr, lines, path, proxy, calls };
         wait_for(|| day.up() == Some(200));
         assert_eq!(day.up(), Some(200), "not up");
         // The first whole list has come by then, or will before anything depends on it.
@@ -385,12 +395,16 @@
 
 #[test]
 fn a_cache_that_was_left_is_probed_and_taken_back() {
-    let day = Day::new(&[("a", |n| if n == 0 { ("", true) } else { (HELD, false) })]);
+    let day = Day::new(&[("a", |n| if n < 3 { ("", true) } else { (HELD, false) })]);
     let mut client = day.client();
-    day.ask(&mut client, "GET", "once", "k");
+    (0..3).for_each(|_| day.ask(&mut client, "GET", "once", "k"));
     wait_for(|| day.told.0.lock().unwrap().iter().any(|line| line == "a: GET /alive"));
     day.ask(&mut client, "GET", "once", "k");
     day.told(expect![[r#"
+        a: GET /api/k?part=1
+        client: 500
+        a: GET /api/k?part=1
+        client: 500
         a: GET /api/k?part=1
         client: 500
         a: GET /alive
@@ -455,6 +469,30 @@
     .assert_eq(&seen.join("\n"));
 }
 
+#[test]
+fn a_new_configuration_moves_the_list_and_a_bad_one_changes_nothing() {
+    let day = Day::with(&[("a", held), ("b", held)], 1024, "", |lines| vec![whole(2, &lines[..1])]);
+    let mut client = day.client();
+    std::fs::write(&day.path, "{\"discovery\": ").unwrap();
+    day.signal("-HUP");
+    day.ask(&mut client, "GET", "page", "k");
+    let (listener, addr) = a_listener();
+    let calls = Arc::new(AtomicUsize::new(0));
+    list(listener, vec![whole(3, &day.lines[1..])], calls.clone());
+    // What it says is known is older than what was told.
+    let moved = configuration(day.addr, addr, &day.lines[..1], 1024);
+    std::fs::write(&day.path, moved.to_string()).unwrap();
+    day.signal("-HUP");
+    wait_for(|| calls.load(Ordering::SeqCst) >= 2);
+    day.ask(&mut client, "GET", "page", "k");
+    day.told(expect![[r#"
+        a: GET /api/k?part=1
+        client: 200 value
+        b: GET /api/k?part=1
+        client: 200 value
+    "#]]);
+}
+
 #[test]
 fn told_to_end_it_takes_what_still_comes_answers_all_and_exits() {
     let slow: Script = |_| {
