--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -500,7 +500,7 @@
 
     // ---- health ----
 
-    /// Doubt grows where over one in four fails, and is enough after three in a row or when nothing listens: a
+    /// Doubt grows where over one in four fails, and is enough after three in a row or if nothing listens: a
     /// fast failer holds little and would keep its keys. One broken connection is no reason to leave a cache.
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
         let c = &mut self.caches[cache];
