A broken origin shot is tried again, a wrong lookup blames no cache

At fault: `shot_ended`, which gave up whatever failed at the origin. At fault: `read` in send.rs and `judge`. A 4xx is an ending of its own now: abandoned at once, and no word on the cache. - Then caches were asked since none was trusted, answered for seconds and stayed left until their probe (a tenth of a second of probes in eight). `judge` now takes them back, and doubt no longer grows past what seven answers make up for.

Ruled out: connections reused too soon (0.7 % break whether idle for 0.5 ms or for a second).

The type HouseRules, which only reads, moved to plain.rs.

--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -1,5 +1,7 @@
 //! What goes in and out of the decision module. Nothing here decides.
 
+use std::collections::BTreeMap;
+
 /// Whole tenths of a millisecond.
 pub type Tenths = u64;
 
@@ -18,6 +20,8 @@
     Held,
     Fetched,
     Miss,
+    /// Turned down as wrong in itself, wherever it is sent.
+    Wrong,
     Error,
     Full,
     TimedOut,
@@ -47,6 +51,55 @@
     pub born: Tenths,
 }
 
+/// What the house allows, read once when the router starts.
+#[derive(Default)]
+pub(crate) struct HouseRules {
+    pub zone: usize,
+    pub most_shots: usize,
+    pub second_copies: bool,
+    pub probes: bool,
+    pub withdrawals: bool,
+    pub longest_stay_away: Tenths, // 0: clients are not told when to return
+    pub cold_share: f64,
+    pub cold_time: Tenths,
+    pub proxies: u64,
+    pub through: bool, // caches fetch for themselves
+    pub origin_kind: Option<usize>,
+
+    pub namespaces: Vec<Namespace>,
+}
+
+impl HouseRules {
+    pub fn read(said: &BTreeMap<String, String>) -> HouseRules {
+        let word = |name: &str| said.get(name).map_or("", String::as_str);
+        let num = |name: &str, or: f64| word(name).parse::<f64>().unwrap_or(or);
+        let namespace = |i: usize| {
+            let own = |name: &str| format!("namespace {i} {name}");
+            Namespace {
+                target: num(&own("target time"), 1e4) as Tenths,
+                late_counts: num(&own("late utility"), 0.0) > 0.0,
+                repeats: word(&own("repeats")).to_string(),
+                group: word(&own("group")).to_string(),
+                window: num(&own("window"), 0.0) as Tenths,
+            }
+        };
+        HouseRules {
+            zone: num("zone", 0.0) as usize,
+            most_shots: num("most shots", 1.0) as usize,
+            second_copies: num("second copies", 0.0) > 0.0,
+            probes: num("probes", 0.0) > 0.0,
+            withdrawals: num("withdrawals", 0.0) > 0.0,
+            longest_stay_away: num("longest stay away", 0.0) as Tenths,
+            cold_share: num("cold share", 1.0),
+            cold_time: num("cold time", 0.0) as Tenths,
+            proxies: num("proxies", 1.0) as u64,
+            through: num("through", 0.0) > 0.0,
+            origin_kind: (!word("origin kind").is_empty()).then(|| num("origin kind", 0.0) as usize),
+            namespaces: (0..num("namespaces", 0.0) as usize).map(namespace).collect(),
+        }
+    }
+}
+
 /// What is done with lookups of one namespace.
 pub(crate) struct Namespace {
     pub target: Tenths,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -6,7 +6,7 @@
 //! as things happen to it. `woken` and `probed` bring back what the router asked for. What it wants done
 //! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
 
-use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Known, Lkp, Lookup, Namespace, Shot, Standing};
+use crate::plain::{Cache, Carrier, Chance, Ending, Entry, HouseRules, Known, Lkp, Lookup, Shot, Standing};
 use crate::plain::{Tally, Tenths, mixed, point};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -14,53 +14,11 @@
 const CACHE_TOKEN: u64 = 1 << 61; // wakes below this are lookups, from here on caches
 const WATCH_TOKEN: u64 = 1 << 62;
 
-/// What the house allows, read once when the router starts.
-#[derive(Default)]
-struct HouseRules {
-    zone: usize,
-    most_shots: usize,
-    second_copies: bool,
-    probes: bool,
-    withdrawals: bool,
-    longest_stay_away: Tenths, // 0: clients are not told when to return
-    cold_share: f64,
-    cold_time: Tenths,
-    cold_floor: u64, // thousandths of a shot that a cold cache may have from this proxy in a second
-    through: bool,   // caches fetch for themselves
-    origin_kind: Option<usize>,
-
-    namespaces: Vec<Namespace>,
-}
-
 impl HouseRules {
-    fn read(said: &BTreeMap<String, String>) -> HouseRules {
-        let word = |name: &str| said.get(name).map_or("", String::as_str);
-        let num = |name: &str, or: f64| word(name).parse::<f64>().unwrap_or(or);
-        let namespace = |i: usize| {
-            let own = |name: &str| format!("namespace {i} {name}");
-            Namespace {
-                target: num(&own("target time"), 1e4) as Tenths,
-                late_counts: num(&own("late utility"), 0.0) > 0.0,
-                repeats: word(&own("repeats")).to_string(),
-                group: word(&own("group")).to_string(),
-                window: num(&own("window"), 0.0) as Tenths,
-            }
-        };
-        HouseRules {
-            zone: num("zone", 0.0) as usize,
-            most_shots: num("most shots", 1.0) as usize,
-            second_copies: num("second copies", 0.0) > 0.0,
-            probes: num("probes", 0.0) > 0.0,
-            withdrawals: num("withdrawals", 0.0) > 0.0,
-            longest_stay_away: num("longest stay away", 0.0) as Tenths,
-            cold_share: num("cold share", 1.0),
-            cold_time: num("cold time", 0.0) as Tenths,
-            // Four shots from all proxies together: at their present worst cold caches bear twice that.
-            cold_floor: 4000 / (num("proxies", 1.0) as u64).max(4),
-            through: num("through", 0.0) > 0.0,
-            origin_kind: (!word("origin kind").is_empty()).then(|| num("origin kind", 0.0) as usize),
-            namespaces: (0..num("namespaces", 0.0) as usize).map(namespace).collect(),
-        }
+    /// Thousandths of a shot that a cold cache may have from this proxy in a second: four shots from all
+    /// proxies together, as at their present worst cold caches bear twice that.
+    fn cold_floor(&self) -> u64 {
+        4000 / self.proxies.max(4)
     }
 
     /// Finds how much a cache takes at once by additive increase and multiplicative decrease. Late is what
@@ -141,7 +99,7 @@
             self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
                 if c.credit < 1000 {
-                    c.credit += self.house.cold_floor; // or a fleet all cold would stay so
+                    c.credit += self.house.cold_floor(); // or a fleet all cold would stay so
                 }
                 c.lately -= c.lately / 8; // so that a cache nobody asks is asked again
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
@@ -169,7 +127,7 @@
                 // A new process under an old id: what was held against the old one is void.
                 (c.doubt, c.left, c.stay) = (0, false, 0);
                 // Some of many proxies begin with a shot, by chance, or all would send theirs together.
-                c.credit = self.house.cold_floor + self.chance.below(1000);
+                c.credit = self.house.cold_floor() + self.chance.below(1000);
             }
             c.id = e.id.to_string();
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born);
@@ -239,7 +197,7 @@
     /// A cold cache may be sent as much as the mean cache answers, cut by its warmth, and what it answers
     /// itself. Guards against pushing it over when far more is asked for than the fleet can do.
     fn give_credit(&mut self, cache: Cache, answered: bool) {
-        let (ready, most) = (self.rings[2].len() as u64 / 128, 1000 + 2 * self.house.cold_floor);
+        let (ready, most) = (self.rings[2].len() as u64 / 128, 1000 + 2 * self.house.cold_floor());
         for i in 0..self.caches.len() {
             let warmth = self.warmth(i);
             if warmth < 1000 && self.ready(i) {
@@ -506,10 +464,14 @@
         let c = &mut self.caches[cache];
         c.doubt = match ending {
             Ending::Resolved | Ending::Held | Ending::Fetched | Ending::Miss => c.doubt.saturating_sub(1),
-            Ending::Full | Ending::Withdrawn | Ending::Unsent => c.doubt,
+            // Guards against a lookup that no cache can use and that would have each of them left.
+            Ending::Full | Ending::Withdrawn | Ending::Unsent | Ending::Wrong => c.doubt,
             Ending::Unreachable => c.doubt + 9,
             Ending::Error | Ending::TimedOut | Ending::Broken => c.doubt + 3,
         };
+        // Asked as none was trusted, it is taken back for its answers: seven make up for the most doubt.
+        c.doubt = c.doubt.min(12);
+        c.left &= c.doubt >= 6;
         if c.doubt >= 9 && !c.left && Some(cache) != self.origin {
             self.leave(cache, out);
         }
@@ -620,7 +582,7 @@
         let c = &mut router.caches[cache];
         let silent = c.owes_since <= sent;
         c.out -= 1;
-        if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full) {
+        if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full | Ending::Wrong) {
             (c.owes_since, c.hushed) = (router.now, false);
         }
         let from_cache = Some(cache) != router.origin;
@@ -660,14 +622,18 @@
         if from_cache && matches!(ending, Ending::Resolved | Ending::Miss) {
             router.give_credit(cache, ending == Ending::Resolved);
         }
-        if finished || over {
+        if ending == Ending::Wrong && !finished && !over {
+            out.abandon(self);
+        }
+        if finished || over || ending == Ending::Wrong {
             router.close(self, out);
         } else if ending == Ending::Miss && router.house.origin_kind.is_some() {
             router.ask_origin(self, out);
         } else if !router.lookups[&self.0].out() {
             match ending {
-                _ if !from_cache => router.give_up(self, out),
-                Ending::Unreachable | Ending::Miss => router.move_on(self, true, out),
+                Ending::Full | Ending::TimedOut | Ending::Unsent if !from_cache => router.give_up(self, out),
+                Ending::Unreachable | Ending::Miss if from_cache => router.move_on(self, true, out),
+                // One broken or spoilt at the origin says nothing of its load, and may have stored the value.
                 _ => router.move_on(self, false, out),
             }
         }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -538,3 +538,66 @@
     "#]]
     .assert_eq(&h.told());
 }
+
+#[test]
+fn a_lookup_no_cache_can_use_ends_at_once_and_leaves_no_cache() {
+    let mut h = house(&[]);
+    h.ready(&FOUR);
+    for _ in 0..4 {
+        let lkp = h.ask(0, "book/1");
+        h.end(lkp, 0, Ending::Wrong);
+    }
+    expect![[r#"
+        lookup 0 -> cache 0
+        lookup 0 abandoned
+        lookup 1 -> cache 0
+        lookup 1 abandoned
+        lookup 2 -> cache 0
+        lookup 2 abandoned
+        lookup 3 -> cache 0
+        lookup 3 abandoned
+    "#]]
+    .assert_eq(&h.told());
+}
+
+#[test]
+fn a_left_cache_that_answers_is_taken_back_without_a_probe() {
+    let mut h = house(&[]);
+    h.ready(&["amber"]);
+    (0..3).for_each(|_| {
+        let lkp = h.ask(2, "book/1");
+        h.end(lkp, 0, Ending::Error);
+    });
+    // The only cache is asked all the same.
+    (0..7).for_each(|_| {
+        let lkp = h.ask(0, "book/1");
+        h.end(lkp, 0, Ending::Resolved);
+    });
+    h.told();
+    h.ready(&FOUR);
+    expect!["amber"].assert_eq(&h.owner("book/1"));
+}
+
+#[test]
+fn a_shot_broken_at_the_origin_is_tried_again_by_way_of_the_cache() {
+    let mut h = house(&[("origin kind", "9")]);
+    h.ready(&["amber", "origin"]);
+    let read = h.ask(0, "book/1");
+    h.end(read, 0, Ending::Miss);
+    h.end(read, 1, Ending::Broken);
+    h.end(read, 2, Ending::Resolved);
+    let single = h.write(2, "book/1");
+    h.end(single, 0, Ending::Broken);
+    let full = h.write(0, "book/1");
+    h.end(full, 0, Ending::Full);
+    expect![[r#"
+        lookup 0 -> cache 0
+        lookup 0 -> cache 1
+        lookup 0 -> cache 0
+        lookup 1 -> cache 1
+        lookup 1 abandoned
+        lookup 2 -> cache 1
+        lookup 2 deferred
+    "#]]
+    .assert_eq(&h.told());
+}
--- a/crates/proxy/src/caches/send.rs
+++ b/crates/proxy/src/caches/send.rs
@@ -95,6 +95,8 @@
         },
         404 => Ending::Miss,
         503 | 504 if turned_away => Ending::Full,
+        // No word on the cache: a client asked for what can't be had.
+        400..=499 => Ending::Wrong,
         _ => Ending::Error,
     };
     if message.status != 200 {
