Answers up to 1 MiB are taken, within a quarter of the memory

At fault: http.rs `head`, which held 64 KiB, the protocol's figure, for the longest answer. Now a stated length up to 1 MiB is taken while all such answers together hold no more than a quarter of `limits.memory_mb`; the 3 GB answers of bad caches end at their head as before.

--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -3,6 +3,7 @@
 
 use crate::caches::{self, Line};
 use crate::clients::admit::Ask;
+use crate::http::Held;
 use crate::list::Row;
 use crate::proxy::{Proxy, wait_until};
 use chalkwalk_policy::{Cache, Carrier, Ending, Lkp, Router, Tenths};
@@ -18,11 +19,12 @@
     pub back_in: Option<Tenths>,
     pub kind: String,
     pub body: Vec<u8>,
+    pub _held: Option<Held>,
 }
 
 impl Answer {
     pub fn bare(status: u16) -> Answer {
-        Answer { status, back_in: None, kind: String::new(), body: Vec::new() }
+        Answer { status, back_in: None, kind: String::new(), body: Vec::new(), _held: None }
     }
 }
 
--- a/crates/proxy/src/caches/send.rs
+++ b/crates/proxy/src/caches/send.rs
@@ -53,7 +53,7 @@
         Some(Err(ending)) => return (ending, None),
         None => return (Ending::Unsent, None),
     };
-    let Ok(message) = http::answer(&conn.stream, http::LONGEST_BODY).await else {
+    let Ok(message) = http::answer(&conn.stream, http::LONGEST_BODY, Some(&proxy.room)).await else {
         return (Ending::Broken, None);
     };
     line.hold(None);
@@ -103,8 +103,8 @@
         return (ending, None);
     }
     let kind = message.field("Content-Type").unwrap_or("").to_string();
-    let Message { mut buf, body, .. } = message;
+    let Message { mut buf, body, held, .. } = message;
     buf.truncate(body.end);
     buf.drain(..body.start);
-    (ending, Some(Answer { status: 200, back_in: None, kind, body: buf }))
+    (ending, Some(Answer { kind, body: buf, _held: held, ..Answer::bare(200) }))
 }
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -1,14 +1,46 @@
 //! HTTP/1.1 framing, once for all peers: heads parsed in place, gathered writes, lengths and chunks.
 
 use smol::Async;
+use std::cell::Cell;
 use std::io::{self, IoSlice, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
+use std::rc::Rc;
 
 /// The longest head: twice what common servers take by default is no use to anyone on this protocol.
 pub const LONGEST_HEAD: usize = 16 << 10;
 /// The longest body, as the protocol has it.
 pub const LONGEST_BODY: usize = 64 << 10;
+/// The longest answer of a cache that is still taken where there is room for it: values are seen to be longer than
+/// the protocol has them, up to some hundred kilobytes.
+const LONGEST_VALUE: usize = 1 << 20;
+
+/// How many bytes all answers longer than the longest body may hold together, from their head until they are relayed.
+#[derive(Clone)]
+pub struct Room(Rc<Cell<usize>>);
+
+pub struct Held {
+    room: Room,
+    bytes: usize,
+}
+
+impl Room {
+    pub fn new(bytes: usize) -> Room {
+        Room(Rc::new(Cell::new(bytes)))
+    }
+
+    fn take(&self, bytes: usize) -> Option<Held> {
+        let left = self.0.get().checked_sub(bytes).filter(|_| bytes <= LONGEST_VALUE)?;
+        self.0.set(left);
+        Some(Held { room: self.clone(), bytes })
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.room.0.set(self.room.0.get() + self.bytes);
+    }
+}
 
 /// What is wrong with a message: the status that says so.
 pub type Fault = u16;
@@ -29,6 +61,7 @@
     pub status: u16,
     pub body: Range<usize>,
     pub close: bool,
+    pub held: Option<Held>,
     fields: Vec<(Range<usize>, Range<usize>)>,
 }
 
@@ -70,7 +103,7 @@
 }
 
 /// A head at the start of the buffer, or `None` while it is not whole.
-fn head(buf: &[u8], question: bool, longest: usize) -> Result<Option<Head>, Fault> {
+fn head(buf: &[u8], question: bool, longest: usize, room: Option<&Room>) -> Result<Option<Head>, Fault> {
     let mut lines = [httparse::EMPTY_HEADER; 64];
     let mut message = Message::default();
     let (len, minor);
@@ -127,8 +160,12 @@
     let form = match lengths.first() {
         _ if empty => Form::Length(0),
         _ if chunked => Form::Chunked,
-        Some(n) if *n > longest => return Err(413),
-        Some(n) => Form::Length(*n),
+        Some(n) => {
+            if *n > longest {
+                message.held = Some(room.and_then(|room| room.take(*n)).ok_or(413u16)?);
+            }
+            Form::Length(*n)
+        }
         None if question => Form::Length(0),
         None => Form::ToTheEnd,
     };
@@ -180,8 +217,8 @@
 pub async fn more(stream: &Async<TcpStream>, buf: &mut Vec<u8>) -> io::Result<usize> {
     loop {
         let old = buf.len();
-        // A page at a time: heads fit, and a longest body takes sixteen reads.
-        buf.resize(old + 4096, 0);
+        // A page at a time, as heads fit; what is longer already is read in longest bodies' quarters.
+        buf.resize(old + if old < 4096 { 4096 } else { LONGEST_BODY / 4 }, 0);
         let got = stream.get_ref().read(&mut buf[old..]);
         buf.truncate(old + got.as_ref().copied().unwrap_or(0));
         match got {
@@ -198,10 +235,11 @@
     rest: &mut Vec<u8>,
     question: bool,
     longest: usize,
+    room: Option<&Room>,
 ) -> Result<Message, Fault> {
     let broken = if question { 400 } else { 502 };
     let head = loop {
-        if let Some(head) = head(rest, question, longest)? {
+        if let Some(head) = head(rest, question, longest, room)? {
             if !head.interim {
                 break head;
             }
@@ -247,13 +285,17 @@
 }
 
 pub async fn question(stream: &Async<TcpStream>, rest: &mut Vec<u8>) -> Result<Message, Fault> {
-    message(stream, rest, true, LONGEST_BODY).await
+    message(stream, rest, true, LONGEST_BODY, None).await
 }
 
 /// The answer to what was just written; the connection is not for more if anything came beyond it.
-pub async fn answer(stream: &Async<TcpStream>, longest: usize) -> Result<Message, Fault> {
+pub async fn answer(
+    stream: &Async<TcpStream>,
+    longest: usize,
+    room: Option<&Room>,
+) -> Result<Message, Fault> {
     let mut rest = Vec::new();
-    let mut answer = message(stream, &mut rest, false, longest).await?;
+    let mut answer = message(stream, &mut rest, false, longest, room).await?;
     answer.close |= !rest.is_empty();
     Ok(answer)
 }
@@ -269,7 +311,7 @@
     let parts: [&[u8]; 5] =
         [b"GET ", target.as_bytes(), b" HTTP/1.1\r\nHost: ", host.as_bytes(), b"\r\n\r\n"];
     write_all(stream, &parts).await.map_err(|e| format!("not written: {e}"))?;
-    answer(stream, longest).await.map_err(|_| "a broken answer".to_string())
+    answer(stream, longest, None).await.map_err(|_| "a broken answer".to_string())
 }
 
 /// Writes all parts, gathered.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -3,6 +3,7 @@
 use crate::book::Book;
 use crate::budget::Budget;
 use crate::caches::pool::Pool;
+use crate::http::Room;
 use crate::life::{Life, Phase};
 use crate::rules::HouseRules;
 use crate::{caches, clients, list};
@@ -65,6 +66,7 @@
     pub rules: HouseRules,
     pub clock: Clock,
     pub budget: Budget,
+    pub room: Room, // for long answers
     pub life: Life,
     pub book: RefCell<Book>,
     pub pool: Pool,
@@ -102,6 +104,8 @@
             beat: Cell::new(clock.now()),
             clock,
             budget: Budget::new(rules.descriptors),
+            // A quarter of the memory: the rest of the proxy needs a few megabytes.
+            room: Room::new(rules.memory / 4),
             life: Life::new(),
             book: RefCell::default(),
             pool: Pool::default(),
--- a/crates/proxy/src/rules.rs
+++ b/crates/proxy/src/rules.rs
@@ -14,6 +14,7 @@
     pub list: SocketAddr,
     pub seed: u64,
     pub descriptors: usize,
+    pub memory: usize, // in bytes
     pub known: Value,
     pub house: House,
     pub time_limits: Vec<Tenths>,
@@ -55,6 +56,8 @@
                 None => 1024,
                 Some(_) => whole(limits, "sockets")? as usize,
             },
+            // The least that a proxy is given.
+            memory: limits.get("memory_mb").and_then(Value::as_u64).unwrap_or(32) as usize * 1_000_000,
             known: said.get("known").cloned().unwrap_or(Value::Null),
             time_limits: (0..house.namespaces.len()).map(limit).collect(),
             connect_time: tenths("connect time", 1e4),
