Caches that turn away or break a part of what comes are not lost as a whole

At fault: `resize` on Full, and the mean in `walk`. Turning away now leaves a cache one place (the origin none), and in the last round, care 0, the mean is of the caches that may be asked. - With 8 % of the shots reset and 97 new connections refused one by one, caches that answered dozens of shots a second were left 97 times: three resets among ten answers, or one refused connection. At fault: `judge`. While the cache has answered within a silence's time, such an ending counts 2, not 3 or 9; a dead one is left as soon as that is past.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -32,6 +32,8 @@
         match ending {
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
             Ending::Resolved | Ending::TimedOut if late => c.room -= c.room / 8,
+            // One at a time is no load: guards caches that turn away a part of whatever comes.
+            Ending::Full if from_cache => c.room -= (c.room / 4).min(c.room.saturating_sub(100)),
             Ending::Full => c.room -= c.room / 4,
             _ => {}
         }
@@ -242,21 +244,24 @@
                 }
             }
         }
-        let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
-        let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
-        zone.into_iter().find(|&cache| {
-            let c = &self.caches[cache];
+        let may_be_asked = |cache: &Cache| {
+            let (cache, c) = (*cache, &self.caches[*cache]);
             let trusted = !c.left && (c.doubt < 6 || c.out == 0);
             (trusted || none_trusted)
-                && c.out < cap
                 && (care == 0 || !self.silent(cache))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && self.warm_enough(cache, l.key)
                 && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
                 && self.may_shoot(l, cache)
-        })
+        };
+        let asked: Vec<Cache> = zone.iter().copied().filter(may_be_asked).collect();
+        // Guards against deferring as those that are passed hold nothing: the mean is then of the others.
+        let of = if care == 0 { &asked } else { &zone };
+        let claims: u64 = of.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
+        let cap = (claims * 5).div_ceil(4 * of.len().max(1) as u64).max(2);
+        asked.into_iter().find(|c| self.caches[*c].out < cap)
     }
 
     // ---- a lookup's way ----
@@ -461,8 +466,13 @@
     /// Doubt grows where over one in four fails, and is enough after three in a row or if nothing listens: a
     /// fast failer holds little and would keep its keys. One broken connection is no reason to leave a cache.
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
+        let hush = self.hush();
         let c = &mut self.caches[cache];
         c.doubt = match ending {
+            // Where others were answered just now, one connection was in trouble, and not the cache.
+            Ending::Unreachable | Ending::Broken if c.answered > 0 && self.now < c.answered + hush => {
+                c.doubt + 2
+            }
             Ending::Resolved | Ending::Held | Ending::Fetched | Ending::Miss => c.doubt.saturating_sub(1),
             // Guards against a lookup that no cache can use and that would have each of them left.
             Ending::Full | Ending::Withdrawn | Ending::Unsent | Ending::Wrong => c.doubt,
@@ -583,7 +593,7 @@
         let silent = c.owes_since <= sent;
         c.out -= 1;
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full | Ending::Wrong) {
-            (c.owes_since, c.hushed) = (router.now, false);
+            (c.owes_since, c.answered, c.hushed) = (router.now, router.now, false);
         }
         let from_cache = Some(cache) != router.origin;
         let target = router.house.namespaces[l.ns].target;
