A shot overtaken by later ones gets a second copy, and makes no cache late

Traced: 568 shots ended by time-out after 0.4 to 1.3 s, from two to five times a silence's length, each at a cache that answered others all the while; rooms went down to a third, the admitted part to a tenth. At fault: `woken`, which waited for a cache to fall silent as a whole, and `shot_ended`, which took each such time-out for lateness.

A shot out for a silence's time, with one sent later answered, now goes elsewhere, and its time-out is no word on load.

--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -151,6 +151,7 @@
     pub out: u64,           // own shots in flight
     pub owes_since: Tenths, // last answer, or the first shot since nothing was out
     pub answered: Tenths,   // last
+    pub heard: Tenths,      // when the shot was sent that was answered and had been sent last
     pub hushed: bool,       // the present silence was counted
     pub doubt: u64,         // up by 3 for a failure, down by 1 for an answer
     pub left: bool,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -530,12 +530,14 @@
         if Some(cache) == self.origin || self.now >= l.useful_until {
             return;
         }
-        if self.caches[cache].owes_since > sent || !self.silent(cache) {
+        // Guards against shots that are taken and never answered: one sent later was, and this is overdue.
+        let lost = self.caches[cache].heard > sent && self.now > sent + hush;
+        if !lost && (self.caches[cache].owes_since > sent || !self.silent(cache)) {
             return out.wake(token, hush + 1);
         }
         // Nothing has come from this cache since the shot: guards against caches that hang, vanish or pause.
         // One silence is one failure, however many shots it holds up: a pause is no hang.
-        if !std::mem::replace(&mut self.caches[cache].hushed, true) {
+        if !lost && !std::mem::replace(&mut self.caches[cache].hushed, true) {
             self.judge(cache, Ending::TimedOut, out);
         }
         if self.house.second_copies {
@@ -582,6 +584,7 @@
             Ending::Held | Ending::Fetched => (Some(ending == Ending::Fetched), Ending::Resolved),
             _ => (None, ending),
         };
+        let hush = router.hush();
         let Some(l) = router.lookups.get_mut(&self.0) else { return };
         let Some(s) = l.shots.get_mut(shot).filter(|s| s.out) else { return };
         let not_run = [Ending::Full, Ending::Unreachable, Ending::Unsent, Ending::Miss];
@@ -594,7 +597,11 @@
         c.out -= 1;
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full | Ending::Wrong) {
             (c.owes_since, c.answered, c.hushed) = (router.now, router.now, false);
+            c.heard = c.heard.max(sent);
         }
+        // Guards caches against being taken for late over shots that they lost, while they answer later ones.
+        let lost = ending == Ending::TimedOut && !silent && c.heard > sent && took > hush;
+        let ending = if lost { Ending::Withdrawn } else { ending };
         let from_cache = Some(cache) != router.origin;
         let target = router.house.namespaces[l.ns].target;
         if matches!(ending, Ending::Resolved | Ending::TimedOut) {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -650,3 +650,29 @@
     "#]]
     .assert_eq(&h.told());
 }
+
+#[test]
+fn a_shot_that_later_ones_have_overtaken_is_sent_elsewhere_and_its_cache_not_taken_for_late() {
+    let mut h = house(&[]);
+    h.ready(&["amber", "birch"]);
+    let key = key_of(&mut h, "amber");
+    h.told();
+    let lost = h.ask(0, &key);
+    for _ in 0..4 {
+        h.pass(600);
+        let lkp = h.ask(0, &key);
+        h.end(lkp, 0, Ending::Resolved);
+    }
+    h.wake(lost.0);
+    h.end(lost, 1, Ending::Resolved);
+    expect![[r#"
+        lookup 2 -> cache 0
+        lookup 3 -> cache 0
+        lookup 4 -> cache 0
+        lookup 5 -> cache 0
+        lookup 6 -> cache 1
+        lookup 2 -> cache 1
+        lookup 2 withdraws shot 0
+    "#]]
+    .assert_eq(&h.told());
+}
