Bad clients are turned down at the door within 3 s; what is known of gone caches goes

A time left is now a plain decimal. Doubled key fields and doubled equal lengths, more sent with or ahead of an answer, and an id that is open here are turned down, never passed on; a second message was kept before and answered. - After 256 KB of a body that was turned down the connection was closed at once, which resets it: now it stays 0.3 s unread. - `list.rs` and the module's caches only grew. An index is free once the router says that no shot, wake or probe names it.

--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -155,6 +155,7 @@
     pub hushed: bool,       // the present silence was counted
     pub doubt: u64,         // up by 3 for a failure, down by 1 for an answer
     pub left: bool,
+    pub calls: u32,     // wakes and probes for it that are still to come back
     pub stay: Tenths,   // how long it is left alone next
     pub lately: Tenths, // what its answers took, the last counting most
     pub room: u64,      // hundredths of a shot that it takes at once without being late
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -123,8 +123,11 @@
         self.watch_fails = 0;
         for e in entries {
             let known = self.caches.len().max(e.cache + 1);
-            self.caches.resize_with(known, || Known { room: 800, ..Known::default() });
+            self.caches.resize_with(known, Known::default);
             let c = &mut self.caches[e.cache];
+            if c.id != e.id {
+                *c = Known { room: 800, ..Known::default() };
+            }
             if e.born > c.born {
                 // A new process under an old id: what was held against the old one is void.
                 (c.doubt, c.left, c.stay) = (0, false, 0);
@@ -161,6 +164,13 @@
         out.wake(WATCH_TOKEN, wait / 2 + by_chance);
     }
 
+    /// Whether nothing will name this cache any more, so that its place may be another's.
+    pub fn done_with(&self, cache: Cache) -> bool {
+        let c = &self.caches[cache];
+        let named = |l: &Lookup| l.shots.iter().any(|s| s.cache == cache);
+        c.standing == Standing::Gone && c.calls == 0 && !self.lookups.values().any(named)
+    }
+
     // ---- which cache ----
 
     fn ready(&self, cache: Cache) -> bool {
@@ -492,13 +502,18 @@
         // From half a second, doubled at each leave up to eight: short troubles cost little, long ones too.
         (c.left, c.stay) = (true, (c.stay * 2).clamp(SECOND / 2, 8 * SECOND));
         out.log(&format!("cache {} left", c.id));
+        c.calls += 1;
         let wait = c.stay + self.chance.below(c.stay / 4);
         out.wake(CACHE_TOKEN + cache as u64, wait);
     }
 
     /// Tries a cache again that was left: one shot at a time until two were answered.
     pub fn probed(&mut self, cache: Cache, answered: bool, out: &mut dyn Carrier) {
-        let Some(c) = self.caches.get_mut(cache).filter(|c| c.left) else { return };
+        let Some(c) = self.caches.get_mut(cache) else { return };
+        c.calls = c.calls.saturating_sub(1);
+        if !c.left {
+            return;
+        }
         if !answered {
             return self.leave(cache, out);
         }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -676,3 +676,22 @@
     "#]]
     .assert_eq(&h.told());
 }
+
+#[test]
+fn a_place_is_free_once_nothing_can_name_its_cache_and_the_next_one_there_starts_anew() {
+    let mut h = house(&[]);
+    h.ready(&["amber", "birch"]);
+    let key = key_of(&mut h, "birch");
+    let (a, b) = (h.ask(2, &key), h.ask(2, &key));
+    let mut said = Vec::new();
+    h.ready(&["amber"]);
+    said.push(h.router.done_with(1));
+    h.end(a, 0, Ending::Unreachable);
+    h.end(b, 0, Ending::Resolved);
+    // It was left, and the lookup that met it is still open.
+    h.wake(CACHE + 1);
+    said.push(h.router.done_with(1));
+    h.end(a, 1, Ending::Resolved);
+    said.push(h.router.done_with(1));
+    expect!["[false, false, true]"].assert_eq(&format!("{said:?}"));
+}
--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -42,6 +42,7 @@
     open: HashMap<Lkp, Open>,
     pub rows: Vec<Row>,
     pub index: HashMap<String, Cache>,
+    pub free: Vec<Cache>, // below the number of rows, and no cache's
     pub zones: Vec<String>,
     wakes: BinaryHeap<Reverse<(Tenths, u64, u64)>>,
     woken: u64,
--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -25,8 +25,8 @@
     out: Arc<Semaphore>, // connections to caches
     clients: Arc<Semaphore>,
     turned_away: Arc<Semaphore>, // clients that came when all of the others were busy
-    // Client connections with nothing to do, the longest idle first.
-    idle: RefCell<BTreeMap<u64, (Instant, Sender<()>)>>,
+    // Client connections with nothing to do: those that never had, and then the longest idle first.
+    idle: RefCell<BTreeMap<(bool, u64), (Instant, Sender<()>)>>,
     next: Cell<u64>,
 }
 
@@ -90,26 +90,21 @@
     }
 
     /// Puts a client's connection down as idle; closing it is asked for through `close`.
-    pub fn idles(&self, close: Sender<()>) -> u64 {
-        let id = self.next.get();
-        self.next.set(id + 1);
+    pub fn idles(&self, close: Sender<()>, used: bool) -> (bool, u64) {
+        let id = (used, self.next.get());
+        self.next.set(id.1 + 1);
         self.idle.borrow_mut().insert(id, (Instant::now(), close));
         id
     }
 
-    pub fn busy(&self, id: u64) {
+    pub fn busy(&self, id: (bool, u64)) {
         self.idle.borrow_mut().remove(&id);
     }
 
     pub fn close_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        match idle.first_entry() {
-            Some(longest) if longest.get().0.elapsed() > JUST_USED => {
-                let (_, close) = longest.remove();
-                close.try_send(()).is_ok()
-            }
-            _ => false,
-        }
+        let longest = idle.iter().find(|(_, (since, _))| since.elapsed() > JUST_USED).map(|(id, _)| *id);
+        longest.and_then(|id| idle.remove(&id)).is_some_and(|(_, close)| close.try_send(()).is_ok())
     }
 }
 
--- a/crates/proxy/src/clients/mod.rs
+++ b/crates/proxy/src/clients/mod.rs
@@ -17,7 +17,7 @@
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One connection among those that the proxy waits for before it ends.
 struct Counted(Rc<Proxy>);
@@ -91,11 +91,11 @@
 async fn serve(stream: Async<TcpStream>, mut permit: Permit, open: Counted, mut taken: bool, clear: Tenths) {
     let proxy = &open.0;
     let mut rest = Vec::new();
-    let mut fresh = true;
+    let mut opened = Some(Instant::now());
     // What is there already may have waited for as long as the connection did: that much less time is left to it.
     let mut waited = !http::quiet(&stream);
     loop {
-        let message = match take_in::take_in(proxy, &stream, &mut rest, fresh).await {
+        let message = match take_in::take_in(proxy, &stream, &mut rest, opened.take()).await {
             Ok(Some(message)) => message,
             Ok(None) => return,
             Err(status) => {
@@ -103,7 +103,6 @@
                 return relay::linger(&stream).await;
             }
         };
-        fresh = false;
         let came = if std::mem::take(&mut waited) { clear } else { proxy.came_after() };
         if !taken && let Some(place) = proxy.budget.make_place().await {
             // It came while all others were busy; by now one is not.
@@ -112,18 +111,22 @@
         }
         let mut close = message.close || !taken;
         let answer = match admit::admit(proxy, message, came) {
+            // More at once than one lookup: none of it is taken.
+            _ if !rest.is_empty() => Answer::bare(400),
             Ok(_) if !taken => Answer::bare(503),
             Ok(ask) => match route::route(proxy, &stream, &mut rest, ask).await {
                 Some(answer) => answer,
                 None => return,
             },
-            Err(answer) => {
-                close |= (400..500).contains(&answer.status);
-                answer
-            }
+            Err(answer) => answer,
         };
+        let wrong = (400..500).contains(&answer.status);
+        close |= wrong;
         close |= proxy.life.phase() >= Phase::Leaving;
         relay::relay(&stream, answer, close).await;
+        if wrong {
+            return relay::linger(&stream).await;
+        }
         if close {
             return;
         }
--- a/crates/proxy/src/clients/relay.rs
+++ b/crates/proxy/src/clients/relay.rs
@@ -17,6 +17,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
@@ -56,7 +57,8 @@
             dropped += n;
             buf.clear();
             if dropped > LINGER.1 {
-                return;
+                // No more is read, at no cost; what was answered can be.
+                std::future::pending::<()>().await;
             }
         }
     };
--- a/crates/proxy/src/clients/route.rs
+++ b/crates/proxy/src/clients/route.rs
@@ -14,7 +14,7 @@
 /// Beside a time limit, until a lookup's answer is taken to be forgotten: the rules allow 50 ms.
 const OVERDUE: Duration = Duration::from_millis(30);
 
-/// `None` if the client has gone away.
+/// `None` if the client has gone away. One that sends more before its answer breaks the protocol and gets none.
 pub async fn route(proxy: &Proxy, stream: &Async<TcpStream>, rest: &mut Vec<u8>, ask: Ask) -> Option<Answer> {
     let expires = ask.expires;
     let (lkp, answered) = Book::take(proxy, Rc::new(ask));
@@ -26,20 +26,9 @@
         Some(Answer::bare(500))
     };
     let gone = async {
-        gone(stream, rest).await;
+        let more = matches!(http::more(stream, rest).await, Ok(1..));
         Book::client_left(proxy, lkp);
-        None
+        more.then(|| Answer::bare(400))
     };
     async { answered.recv().await.ok() }.or(gone).or(late).await
 }
-
-/// Comes to its end when the client has gone away; what it sends ahead is kept.
-async fn gone(stream: &Async<TcpStream>, rest: &mut Vec<u8>) {
-    // A client that sends far ahead is not listened to until it has its answer.
-    while rest.len() < http::LONGEST_HEAD {
-        if !matches!(http::more(stream, rest).await, Ok(1..)) {
-            return;
-        }
-    }
-    smol::future::pending::<()>().await;
-}
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -79,6 +79,14 @@
         self.fields.iter().find(named).map(|(_, value)| self.part(value))
     }
 
+    /// Whether one of these fields is there more than once: who reads the first is told something else than who
+    /// reads the last.
+    pub fn doubled(&self, names: &[&str]) -> bool {
+        let count =
+            |name: &str| self.fields.iter().filter(|(n, _)| self.word(n).eq_ignore_ascii_case(name)).count();
+        names.iter().any(|name| count(name) > 1)
+    }
+
     pub fn field(&self, name: &str) -> Option<&str> {
         self.bytes(name).and_then(|value| std::str::from_utf8(value).ok()).map(str::trim)
     }
@@ -145,7 +153,7 @@
                 lengths.push(value.parse::<usize>().map_err(|_| 413u16)?);
             }
             "content-length" => return Err(400),
-            "transfer-encoding" if value.trim() == "chunked" => chunked = true,
+            "transfer-encoding" if value.trim() == "chunked" && !chunked => chunked = true,
             "transfer-encoding" => return Err(400),
             "connection" => message.close |= value.split(',').any(|w| w.trim() == "close"),
             "expect" => waits = value.trim() == "100-continue",
@@ -153,7 +161,7 @@
         }
     }
     // Two ways to say where a message ends are how one is smuggled into another.
-    if lengths.iter().any(|n| *n != lengths[0]) || (chunked && !lengths.is_empty()) {
+    if lengths.len() + usize::from(chunked) > 1 {
         return Err(400);
     }
     let empty = matches!(message.status, 204 | 304);
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -95,6 +95,14 @@
             true => router.list_whole(&entries, desk),
             false => router.list_changes(&entries, desk),
         }
+        // What is gone and done with is forgotten, and its index used again: ids are ever new.
+        let Desk { index, free, .. } = desk;
+        index.retain(|_, cache| {
+            let done = router.done_with(*cache);
+            free.extend(done.then_some(*cache));
+            !done
+        });
+        free.sort_unstable();
     });
     Ok(())
 }
@@ -103,9 +111,13 @@
     if let Some(cache) = desk.index.get(id) {
         return *cache;
     }
-    desk.index.insert(id.to_string(), desk.rows.len());
-    desk.rows.push(Row { addr, off_since: None });
-    desk.rows.len() - 1
+    let cache = desk.free.pop().unwrap_or(desk.rows.len());
+    desk.index.insert(id.to_string(), cache);
+    match desk.rows.get_mut(cache) {
+        Some(row) => *row = Row { addr, off_since: None },
+        None => desk.rows.push(Row { addr, off_since: None }),
+    }
+    cache
 }
 
 /// Watches whenever the router asks for it, until a call fails; the router hears of that and asks again.
@@ -183,3 +195,22 @@
     let said = serde_json::from_slice(answer.part(&answer.body));
     Ok(said.map_err(|e| format!("no JSON: {e}")))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::{Desk, row};
+
+    #[test]
+    fn the_place_of_a_cache_that_is_done_with_is_the_next_ones() {
+        let mut desk = Desk::default();
+        let mut places = Vec::new();
+        for id in ["amber", "birch", "birch", "cedar", "delta"] {
+            places.push(row(&mut desk, id, "127.0.0.1:3000".parse().unwrap()));
+            if id == "cedar" {
+                desk.index.remove("birch");
+                desk.free.push(1);
+            }
+        }
+        expect_test::expect!["[0, 1, 1, 2, 1] of 3"].assert_eq(&format!("{places:?} of {}", desk.rows.len()));
+    }
+}
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -3,6 +3,7 @@
 use crate::book::Book;
 use crate::budget::Budget;
 use crate::caches::pool::Pool;
+use crate::clients::admit::OpenIds;
 use crate::http::Room;
 use crate::life::{Life, Phase};
 use crate::rules::HouseRules;
@@ -67,6 +68,7 @@
     pub clock: Clock,
     pub budget: Budget,
     pub room: Room, // for long answers
+    pub open_ids: OpenIds,
     pub life: Life,
     pub book: RefCell<Book>,
     pub pool: Pool,
@@ -106,6 +108,7 @@
             budget: Budget::new(rules.descriptors),
             // A quarter of the memory: the rest of the proxy needs a few megabytes.
             room: Room::new(rules.memory / 4),
+            open_ids: OpenIds::default(),
             life: Life::new(),
             book: RefCell::default(),
             pool: Pool::default(),
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -235,8 +235,10 @@
 
     fn write(&self, stream: &mut TcpStream, method: &str, ns: &str, key: &str) {
         let body = if method == "PUT" { "Content-Length: 3\r\n\r\nnew" } else { "\r\n" };
+        static NTH: AtomicUsize = AtomicUsize::new(0);
+        let id = NTH.fetch_add(1, Ordering::SeqCst);
         let text = format!(
-            "{method} /api/{key}?part=1 HTTP/1.1\r\nX-Correlation-Id: c\r\nX-Service-Class: {ns}\r\n\
+            "{method} /api/{key}?part=1 HTTP/1.1\r\nX-Correlation-Id: c{id}\r\nX-Service-Class: {ns}\r\n\
              X-Time-Left: 1.5\r\n{body}"
         );
         stream.write_all(text.as_bytes()).unwrap();
@@ -673,7 +675,7 @@
     client.write_all(b"GET /k HTTP/1.1\r\nX-Correlation").unwrap();
     day.hear(&mut client);
     day.told(expect![[r#"
-        client: closed on
+        client: 408 Connection: close
     "#]]);
 }
 
@@ -700,6 +702,18 @@
         ("unknown namespace", format!("GET /k HTTP/1.1\r\n{}\r\n", id.replace("page", "pag"))),
         ("no time left", format!("GET /k HTTP/1.1\r\n{}\r\n", id.replace("Left: 1", "Left: 0"))),
         ("odd time left", format!("GET /k HTTP/1.1\r\n{}\r\n", id.replace("Left: 1", "Left: NaN"))),
+        ("no number", format!("GET /k HTTP/1.1\r\n{}\r\n", id.replace("Left: 1", "Left: inf"))),
+        ("an exponent", format!("GET /k HTTP/1.1\r\n{}\r\n", id.replace("Left: 1", "Left: 1e0"))),
+        ("ages", format!("GET /k HTTP/1.1\r\n{}\r\n", id.replace("Left: 1", "Left: 99999999999999999999"))),
+        ("two ids", format!("GET /k HTTP/1.1\r\nX-Correlation-Id: d\r\n{id}\r\n")),
+        (
+            "the same length twice",
+            format!("PUT /k HTTP/1.1\r\n{id}Content-Length: 1\r\nContent-Length: 1\r\n\r\na"),
+        ),
+        (
+            "two at once",
+            format!("GET /k HTTP/1.1\r\n{id}\r\nGET /l HTTP/1.1\r\n{}\r\n", id.replace(": c", ": d")),
+        ),
         ("no id", format!("GET /k HTTP/1.1\r\n{}\r\n", id.replace("-Correlation", ""))),
         ("an empty field", format!("GET /k HTTP/1.1\r\nX-Correlation-Id:\r\nX-Service-Class: \r\n{id}\r\n")),
         ("another method", format!("POST /k HTTP/1.1\r\n{id}\r\n")),
@@ -740,6 +754,18 @@
         client: 400 Connection: close
         odd time left:
         client: 400 Connection: close
+        no number:
+        client: 400 Connection: close
+        an exponent:
+        client: 400 Connection: close
+        ages:
+        client: 400 Connection: close
+        two ids:
+        client: 400 Connection: close
+        the same length twice:
+        client: 400 Connection: close
+        two at once:
+        client: 400 Connection: close
         no id:
         client: 400 Connection: close
         an empty field:
@@ -755,6 +781,73 @@
     "#]]);
 }
 
+#[test]
+fn an_id_that_is_open_elsewhere_and_a_second_lookup_ahead_of_the_answer_are_turned_down() {
+    let slow: Script = |_| {
+        sleep(Duration::from_millis(300));
+        (HELD, false)
+    };
+    let day = Day::new(&[("a", slow)]);
+    let text = |id: &str| {
+        format!(
+            "GET /k HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left: 1\r\nX-Service-Class: page\r\n\r\n"
+        )
+    };
+    let [mut owner, mut other, mut hasty] = [(); 3].map(|()| day.client());
+    owner.write_all(text("c").as_bytes()).unwrap();
+    hasty.write_all(text("d").as_bytes()).unwrap();
+    sleep(Duration::from_millis(100));
+    other.write_all(text("c").as_bytes()).unwrap();
+    day.hear(&mut other);
+    hasty.write_all(text("e").as_bytes()).unwrap();
+    day.hear(&mut hasty);
+    day.hear(&mut owner);
+    other = day.client();
+    other.write_all(text("c").as_bytes()).unwrap();
+    day.hear(&mut other);
+    day.told(expect![[r#"
+        a: GET /k
+        a: GET /k
+        client: 409 Connection: close
+        client: 400 Connection: close
+        client: 200 value
+        a: GET /k
+        client: 200 value
+    "#]]);
+}
+
+#[test]
+fn silent_clients_are_closed_within_three_seconds_and_make_way_for_others() {
+    let day = Day::with(&[("a", held)], 46, "", |lines| vec![whole(2, lines)]);
+    let begun = Instant::now();
+    let mut used = day.client();
+    day.ask(&mut used, "GET", "page", "k");
+    let mut silent: Vec<TcpStream> = (0..10).map(|_| day.client()).collect();
+    sleep(Duration::from_millis(500));
+    let mut fresh: Vec<TcpStream> = (0..5).map(|_| day.client()).collect();
+    fresh.iter_mut().for_each(|client| day.ask(client, "GET", "page", "k"));
+    silent.iter_mut().for_each(|client| assert!(message(client).is_none()));
+    day.told.say(format!("silent ones closed in 3 s: {}", begun.elapsed() < Duration::from_secs(3)));
+    day.ask(&mut used, "GET", "page", "k");
+    day.told(expect![[r#"
+        a: GET /api/k?part=1
+        client: 200 value
+        a: GET /api/k?part=1
+        client: 200 value
+        a: GET /api/k?part=1
+        client: 200 value
+        a: GET /api/k?part=1
+        client: 200 value
+        a: GET /api/k?part=1
+        client: 200 value
+        a: GET /api/k?part=1
+        client: 200 value
+        silent ones closed in 3 s: true
+        a: GET /api/k?part=1
+        client: 200 value
+    "#]]);
+}
+
 /// How a start ends that is wrong, and what it says.
 fn ending(mut child: Child) -> String {
     let mut said = String::new();
