--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -20,13 +20,15 @@
 const BESIDES: usize = 15;
 
 pub type Permit = SemaphoreGuardArc;
+/// Whether a connection was used, and when it became idle among all.
+pub type Turn = (bool, u64);
 
 pub struct Budget {
     out: Arc<Semaphore>, // connections to caches
     clients: Arc<Semaphore>,
     turned_away: Arc<Semaphore>, // clients that came when all of the others were busy
     // Client connections with nothing to do: those that never had, and then the longest idle first.
-    idle: RefCell<BTreeMap<(bool, u64), (Instant, Sender<()>)>>,
+    idle: RefCell<BTreeMap<Turn, (Instant, Sender<()>)>>,
     next: Cell<u64>,
 }
 
@@ -90,14 +92,14 @@
     }
 
     /// Puts a client's connection down as idle; closing it is asked for through `close`.
-    pub fn idles(&self, close: Sender<()>, used: bool) -> (bool, u64) {
+    pub fn idles(&self, close: Sender<()>, used: bool) -> Turn {
         let id = (used, self.next.get());
         self.next.set(id.1 + 1);
         self.idle.borrow_mut().insert(id, (Instant::now(), close));
         id
     }
 
-    pub fn busy(&self, id: (bool, u64)) {
+    pub fn busy(&self, id: Turn) {
         self.idle.borrow_mut().remove(&id);
     }
 
