At most a sixth of the descriptors is for idle clients, so that those who ask can connect

At 2.7 s 130 connections had asked once and stayed, about a third of the 384 descriptors, which is all that clients may have open for lookups: whoever had one more could not connect. At fault: `Budget`, which closed idle clients only once its own places were out.

Now a connection that becomes idle beyond a sixth of the descriptors closes the one idle longest, those never used first.

--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -30,6 +30,7 @@
     // Client connections with nothing to do: those that never had, and then the longest idle first.
     idle: RefCell<BTreeMap<Turn, (Instant, Sender<()>)>>,
     next: Cell<u64>,
+    most_idle: usize,
 }
 
 impl Budget {
@@ -45,6 +46,7 @@
             turned_away: Arc::new(Semaphore::new(turned_away)),
             idle: RefCell::default(),
             next: Cell::new(0),
+            most_idle: all / 6,
         }
     }
 
@@ -96,6 +98,11 @@
         let id = (used, self.next.get());
         self.next.set(id.1 + 1);
         self.idle.borrow_mut().insert(id, (Instant::now(), close));
+        // Guards clients against others that ask once and keep their connection: whoever stands between may let
+        // only so many be open at once, a third of our descriptors, and half of that is for those that ask.
+        if self.idle.borrow().len() > self.most_idle {
+            self.close_idle();
+        }
         id
     }
 
@@ -105,7 +112,8 @@
 
     pub fn close_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let longest = idle.iter().find(|(_, (since, _))| since.elapsed() > JUST_USED).map(|(id, _)| *id);
+        let may_go = |used: bool, since: Instant| !used || since.elapsed() > JUST_USED;
+        let longest = idle.iter().find(|((used, _), (since, _))| may_go(*used, *since)).map(|(id, _)| *id);
         longest.and_then(|id| idle.remove(&id)).is_some_and(|(_, close)| close.try_send(()).is_ok())
     }
 }
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -617,6 +617,21 @@
     "#]]);
 }
 
+#[test]
+fn clients_that_ask_once_and_stay_hold_a_sixth_of_the_descriptors_at_most() {
+    let day = Day::with(&[("a", held)], 195, "", |lines| vec![whole(2, lines)]);
+    let mut clients = Vec::new();
+    for _ in 0..45 {
+        clients.push(day.client());
+        day.ask(clients.last_mut().unwrap(), "GET", "page", "k");
+        sleep(Duration::from_millis(10));
+    }
+    sleep(Duration::from_millis(100));
+    clients.iter().for_each(|client| client.set_nonblocking(true).unwrap());
+    let open = clients.iter().filter(|client| client.peek(&mut [0]).is_err()).count();
+    expect!["30 of 45 are open"].assert_eq(&format!("{open} of 45 are open"));
+}
+
 #[test]
 fn a_process_out_of_descriptors_goes_on() {
     crowd(
