An answer without a length is whole only from a cache that says it closes

Read in http.rs `head`: a body with neither length nor chunks was taken as whole at any close of its connection, so that one cut short would have been passed to a client as its answer. Now it is spoilt, unless the head says "Connection: close" or is HTTP/1.0.

--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -175,9 +175,10 @@
             Form::Length(*n)
         }
         None if question => Form::Length(0),
+        // Cut short it would look whole: taken only from a side that says it closes.
+        None if !message.close => return Err(502),
         None => Form::ToTheEnd,
     };
-    message.close |= form == Form::ToTheEnd;
     let interim = (100..200).contains(&message.status);
     Ok(Some(Head { message, len, form, interim, waits }))
 }
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -383,6 +383,12 @@
         day.ask(&mut day.client(), "GET", "page", key);
         assert!(day.told.0.lock().unwrap().contains(&"client: 200 value".to_string()));
     }
+    let endless = Day::new(&[("a", |_| ("HTTP/1.1 200 OK\r\n\r\nhalf", true))]);
+    endless.ask(&mut endless.client(), "GET", "once", "k");
+    endless.told(expect![[r#"
+        a: GET /api/k?part=1
+        client: 500
+    "#]]);
     let day = Day::new(&[("a", broken)]);
     for _ in 0..3 {
         day.ask(&mut day.client(), "GET", "page", "k");
