Interim answers have no body, and are passed over again

Found on rereading: since answers without a length are held against a cache, http.rs `head` took "100 Continue" and "103 Early Hints" ahead of an answer for spoilt, as they have none either. 1xx now stand beside 204 and 304, which have no body.

--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -164,7 +164,8 @@
     if lengths.len() + usize::from(chunked) > 1 {
         return Err(400);
     }
-    let empty = matches!(message.status, 204 | 304);
+    let interim = (100..200).contains(&message.status);
+    let empty = interim || matches!(message.status, 204 | 304);
     let form = match lengths.first() {
         _ if empty => Form::Length(0),
         _ if chunked => Form::Chunked,
@@ -179,7 +180,6 @@
         None if !message.close => return Err(502),
         None => Form::ToTheEnd,
     };
-    let interim = (100..200).contains(&message.status);
     Ok(Some(Head { message, len, form, interim, waits }))
 }
 
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -304,6 +304,20 @@
     "#]]);
 }
 
+#[test]
+fn interim_answers_ahead_of_one_are_passed_over() {
+    let hints: Script = |_| {
+        let interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n";
+        (format!("{interim}{HELD}").leak(), false)
+    };
+    let day = Day::new(&[("a", hints)]);
+    day.ask(&mut day.client(), "GET", "once", "k");
+    day.told(expect![[r#"
+        a: GET /api/k?part=1
+        client: 200 value
+    "#]]);
+}
+
 #[test]
 fn a_miss_goes_to_the_origin_and_so_does_a_write() {
     let day = Day::new(&[("a", |_| (MISS, false)), ("origin", held)]);
