The walk is lazy again on the ordinary path; twins share one piece

Read once more, no behaviour changed: - `walk` weighed every cache of the ring before it looked for one under the cap, up to six times a lookup; now only in the last round, which needs them all for its mean.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -126,7 +126,7 @@
             self.caches.resize_with(known, Known::default);
             let c = &mut self.caches[e.cache];
             if c.id != e.id {
-                *c = Known { room: 800, ..Known::default() };
+                *c = Known { id: e.id.to_string(), room: 800, ..Known::default() };
             }
             if e.born > c.born {
                 // A new process under an old id: what was held against the old one is void.
@@ -134,7 +134,6 @@
                 // Some of many proxies begin with a shot, by chance, or all would send theirs together.
                 c.credit = self.house.cold_floor() + self.chance.below(1000);
             }
-            c.id = e.id.to_string();
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born);
             if Some(e.kind) == self.house.origin_kind {
                 self.origin = Some(e.cache);
@@ -266,12 +265,13 @@
                 && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
                 && self.may_shoot(l, cache)
         };
-        let asked: Vec<Cache> = zone.iter().copied().filter(may_be_asked).collect();
-        // Guards against deferring as those that are passed hold nothing: the mean is then of the others.
-        let of = if care == 0 { &asked } else { &zone };
-        let claims: u64 = of.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
-        let cap = (claims * 5).div_ceil(4 * of.len().max(1) as u64).max(2);
-        asked.into_iter().find(|c| self.caches[*c].out < cap)
+        if care == 0 {
+            // Guards against deferring as those that are passed hold nothing: the mean is of the others.
+            zone.retain(may_be_asked);
+        }
+        let claims: u64 = zone.iter().map(|c| self.caches[*c].out).sum::<u64>() + 1;
+        let cap = (claims * 5).div_ceil(4 * zone.len().max(1) as u64).max(2);
+        zone.into_iter().find(|c| self.caches[*c].out < cap && may_be_asked(c))
     }
 
     // ---- a lookup's way ----
--- a/crates/proxy/src/clients/mod.rs
+++ b/crates/proxy/src/clients/mod.rs
@@ -98,10 +98,7 @@
         let message = match take_in::take_in(proxy, &stream, &mut rest, opened.take()).await {
             Ok(Some(message)) => message,
             Ok(None) => return,
-            Err(status) => {
-                relay::relay(&stream, Answer::bare(status), true).await;
-                return relay::linger(&stream).await;
-            }
+            Err(status) => return relay::turn_down(&stream, Answer::bare(status)).await,
         };
         let came = if std::mem::take(&mut waited) { clear } else { proxy.came_after() };
         if !taken && let Some(place) = proxy.budget.make_place().await {
@@ -109,7 +106,7 @@
             _ = std::mem::replace(&mut permit, place);
             taken = true;
         }
-        let mut close = message.close || !taken;
+        let close = message.close || !taken;
         let answer = match admit::admit(proxy, message, came) {
             // More at once than one lookup: none of it is taken.
             _ if !rest.is_empty() => Answer::bare(400),
@@ -120,13 +117,11 @@
             },
             Err(answer) => answer,
         };
-        let wrong = (400..500).contains(&answer.status);
-        close |= wrong;
-        close |= proxy.life.phase() >= Phase::Leaving;
-        relay::relay(&stream, answer, close).await;
-        if wrong {
-            return relay::linger(&stream).await;
+        if (400..500).contains(&answer.status) {
+            return relay::turn_down(&stream, answer).await;
         }
+        let close = close || proxy.life.phase() >= Phase::Leaving;
+        relay::relay(&stream, answer, close).await;
         if close {
             return;
         }
--- a/crates/proxy/src/clients/relay.rs
+++ b/crates/proxy/src/clients/relay.rs
@@ -50,7 +50,13 @@
 /// be reset and the answer lost with it.
 const LINGER: (Duration, usize) = (Duration::from_millis(300), 256 << 10);
 
-pub async fn linger(stream: &Async<TcpStream>) {
+/// The answer to what is wrong, and the connection's end.
+pub async fn turn_down(stream: &Async<TcpStream>, answer: Answer) {
+    relay(stream, answer, true).await;
+    linger(stream).await;
+}
+
+async fn linger(stream: &Async<TcpStream>) {
     let drained = async {
         let (mut dropped, mut buf) = (0, Vec::new());
         while let Ok(n @ 1..) = http::more(stream, &mut buf).await {
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -74,17 +74,19 @@
         std::str::from_utf8(self.part(at)).unwrap_or("")
     }
 
+    fn all(&self, name: &str) -> impl Iterator<Item = &[u8]> {
+        let named = move |(n, _): &&(Range<usize>, Range<usize>)| self.word(n).eq_ignore_ascii_case(name);
+        self.fields.iter().filter(named).map(|(_, value)| self.part(value))
+    }
+
     pub fn bytes(&self, name: &str) -> Option<&[u8]> {
-        let named = |(n, _): &&(Range<usize>, Range<usize>)| self.word(n).eq_ignore_ascii_case(name);
-        self.fields.iter().find(named).map(|(_, value)| self.part(value))
+        self.all(name).next()
     }
 
     /// Whether one of these fields is there more than once: who reads the first is told something else than who
     /// reads the last.
     pub fn doubled(&self, names: &[&str]) -> bool {
-        let count =
-            |name: &str| self.fields.iter().filter(|(n, _)| self.word(n).eq_ignore_ascii_case(name)).count();
-        names.iter().any(|name| count(name) > 1)
+        names.iter().any(|name| self.all(name).nth(1).is_some())
     }
 
     pub fn field(&self, name: &str) -> Option<&str> {
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -113,9 +113,10 @@
     }
     let cache = desk.free.pop().unwrap_or(desk.rows.len());
     desk.index.insert(id.to_string(), cache);
+    let row = Row { addr, off_since: None };
     match desk.rows.get_mut(cache) {
-        Some(row) => *row = Row { addr, off_since: None },
-        None => desk.rows.push(Row { addr, off_since: None }),
+        Some(place) => *place = row,
+        None => desk.rows.push(row),
     }
     cache
 }
