The list is asked as by one of a hundred: spread, patient, for changes, rarer after failures

Calls that were let in were given up by us after 1.9 s (6 a second) or by the service after 2.0 s, while it works on both: its queue held nothing but calls that nobody waited for any more.

At fault: platform/list.rs, CALL of 1.9 s and the whole list after every failure; policy.rs, the first call at the very start and watch_failed's 0.1 to 3.2 s. Change: first calls are spread over 3 s where a list is held; a call may take 4 s; the version held (the one known at the start too) is gone on from unless the service may be another; failures double the wait from 1 s to 8 s, half to three halves by chance, and while calls failed lately the next one after an answer rests as well, halved at each.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -192,9 +192,11 @@
             tape,
         };
         desk.told(|| Told::Start { seed, house: house.clone() });
-        // The router asks for the list where the house watches; elsewhere it comes by a watch all the same.
         let router = Router::new(seed, house, &mut desk);
-        _ = desk.wanted.try_send(());
+        // The router asks for the list where the house watches; elsewhere it comes by a watch all the same.
+        if house.get("watched").is_none_or(|watched| watched != "1") {
+            _ = desk.wanted.try_send(());
+        }
         Book { router, house: house.clone(), desk, members }
     }
 
@@ -354,6 +356,11 @@
         router.watch_failed(desk);
     }
 
+    /// Whether the list is to be asked only once the router wants it again.
+    pub fn list_rests(&self) -> bool {
+        self.router.rests_from_list()
+    }
+
     /// When the router is to be woken next.
     pub fn next_wake(&self) -> Option<Tenths> {
         self.desk.wakes.peek().map(|Reverse((due, ..))| *due)
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -21,8 +21,10 @@
 /// How long a watch may wait: half of the 20 s in the protocol's example, so that one that has gone silent is
 /// noticed while the list is still young.
 const WATCH: Duration = Duration::from_secs(10);
-/// How long a call may take beside: the list is one small service for all, and told 2 s after a wait is over.
-const CALL: Duration = Duration::from_millis(1900);
+/// How long a call may take beside. The list is one small service for all, and works through its calls in turn: where it
+/// is asked for more than it can do, whoever is let in waits as long as it allows (2 s). A call given up before is work
+/// done for nobody, and each of a hundred proxies asks again: so twice that.
+const CALL: Duration = Duration::from_secs(4);
 /// The longest list: 400 bytes a line hold ten thousand caches.
 const LONGEST: usize = 4 << 20;
 /// So many older answers in a row are the truth: the list has started again.
@@ -34,6 +36,9 @@
 #[derive(Default)]
 struct Held {
     version: u64,
+    /// The list is as it was told at that version, and what changed since is all that is asked for: a whole list costs
+    /// the service several times as much, and after a trouble all proxies ask at once.
+    since: bool,
     older: u32,
     highest: u64,
     doubted: Option<Tenths>, // since when its versions are below the highest
@@ -83,12 +88,15 @@
     }
 }
 
-/// Tells the core the list as this proxy last had it.
-pub fn known(core: &Rc<Core>, known: &Value) {
-    if let Some(said) = known.as_object()
-        && let Err(fault) = take(core, said, true, false)
-    {
-        warn!(core.log, "known list passed over"; "fault" => fault);
+/// Tells the core the list as this proxy last had it, and returns its version, if it names any cache.
+pub fn known(core: &Rc<Core>, known: &Value) -> Option<u64> {
+    let said = known.as_object()?;
+    match take(core, said, true, false).and_then(|()| whole(said, "version")) {
+        Ok(version) => Some(version).filter(|_| list(said, "servers").is_ok_and(|lines| !lines.is_empty())),
+        Err(fault) => {
+            warn!(core.log, "known list passed over"; "fault" => fault);
+            None
+        }
     }
 }
 
@@ -99,40 +107,66 @@
     Ok(())
 }
 
-/// Watches whenever the router asks for it, until a call fails; the router hears of that and asks again.
-pub async fn follow(core: Rc<Core>, source: Rc<Source>) {
-    let mut held = Held::default();
+/// Watches whenever the router asks for it, until a call fails; the router hears of that and asks again. `known`: the
+/// version of the list that was known at the start, from which the first call goes on.
+pub async fn follow(core: Rc<Core>, source: Rc<Source>, known: Option<u64>) {
+    let version = known.unwrap_or(0);
+    let mut held = Held { version, since: known.is_some(), highest: version, ..Held::default() };
+    let mut first = true;
     loop {
-        let moved = async {
-            _ = source.moved.recv().await;
+        let wanted = async {
+            core.list_wanted().await;
+            true
         };
-        core.list_wanted().or(moved).await;
+        let moved = async { source.moved.recv().await.is_err() };
+        // Without any list there is nothing to serve from, nor to wait for.
+        let nothing = std::mem::take(&mut first) && known.is_none();
+        held.since &= nothing || wanted.or(moved).await;
         let fault = loop {
             // A list that has moved is asked for all it has, at once: the old address may still hold a watch open.
             let over = async { Some(watch(&core, &source, &mut held).await) };
-            let elsewhere = async { source.moved.recv().await.err().map(|e| e.to_string()) };
+            let elsewhere = async { source.moved.recv().await.err().map(|e| Some(e.to_string())) };
             if let Some(fault) = over.or(elsewhere).await {
                 break fault;
             }
+            held.since = false; // another service may have another history
         };
         core.list_had();
-        flow::list_lost(&core);
-        warn!(core.log, "list call failed"; "fault" => fault);
+        if let Some(fault) = fault {
+            flow::list_lost(&core);
+            warn!(core.log, "list call failed"; "fault" => fault);
+        }
     }
 }
 
-async fn watch(core: &Rc<Core>, source: &Source, held: &mut Held) -> String {
+/// Calls until one fails, which it returns, or until the router wants the next one later.
+async fn watch(core: &Rc<Core>, source: &Source, held: &mut Held) -> Option<String> {
     let mut link = None;
-    let mut target = "/discovery/hosts".to_string();
-    let mut wait = Duration::ZERO;
     loop {
+        let (target, wait) = held.next_call();
         let said = within(wait + CALL, call(source, &mut link, &target)).await;
         let said = said.unwrap_or_else(|| Err("no answer in time".into()));
+        // Only a service that has too much to do is surely the one that told this version.
+        held.since = matches!(&said, Err(fault) if held.since && fault == BUSY);
         if let Err(fault) = said.and_then(|said| hear(core, held, &said)) {
-            return fault;
+            return Some(fault);
+        }
+        if core.book.borrow().list_rests() {
+            return None;
+        }
+    }
+}
+
+/// What a call that was turned away says in the log.
+const BUSY: &str = "answered 503";
+
+impl Held {
+    /// Which call comes next, and how long it may wait for news.
+    fn next_call(&self) -> (String, Duration) {
+        match self.since {
+            true => (format!("/discovery/hosts?index={}&wait={}", self.version, WATCH.as_millis()), WATCH),
+            false => ("/discovery/hosts".to_string(), Duration::ZERO),
         }
-        wait = WATCH;
-        target = format!("/discovery/hosts?index={}&wait={}", held.version, wait.as_millis());
     }
 }
 
@@ -148,7 +182,7 @@
     let doubted = since.filter(|since| now < since + DOUBTED);
     take(core, said, flag(said, "full")?, doubted.is_some())?;
     let highest = if since.is_some() && doubted.is_none() { version } else { held.highest.max(version) };
-    *held = Held { version, older: 0, highest, doubted };
+    *held = Held { version, since: true, older: 0, highest, doubted };
     Ok(())
 }
 
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -74,9 +74,10 @@
 
 impl Router {
     pub fn new(seed: u64, said: &BTreeMap<String, String>, out: &mut dyn Carrier) -> Router {
-        let (house, chance) = (HouseRules::read(said), Chance(mixed(seed) | 1));
+        let (house, mut chance) = (HouseRules::read(said), Chance(mixed(seed) | 1));
         if said.get("watched").is_some_and(|w| w == "1") {
-            out.watch();
+            // Spread, as all that were killed together start together: calls that wait too long are for nobody.
+            out.wake(WATCH_TOKEN, chance.below(3 * SECOND));
         }
         Router {
             house,
@@ -139,10 +140,15 @@
     }
 
     pub fn list_changes(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
-        if self.watch_fails > 0 {
-            out.log("list watch is back", "");
+        // Back by steps: while calls failed lately, the list is asked at intervals and not watched, as each change
+        // of it brings all who watch back at once.
+        let fails = self.watch_fails;
+        self.watch_fails = fails.saturating_sub(1);
+        match fails {
+            0 => {}
+            1 => out.log("list watch is back", ""),
+            _ => self.ask_later(out),
         }
-        self.watch_fails = 0;
         for e in entries {
             let known = self.caches.len().max(e.cache + 1);
             self.caches.resize_with(known, Known::default);
@@ -181,14 +187,23 @@
         if self.watch_fails == 0 {
             out.log("list watch is lost", "");
         }
-        // Doubling from 0.2 s to 3.2 s and half of it by chance: the list is one small service for all, and
-        // it must hear from us well inside the ten seconds after which we count as told.
-        let wait = (SECOND / 5) << self.watch_fails.min(4);
-        self.watch_fails += 1;
+        self.watch_fails = (self.watch_fails + 1).min(4);
+        self.ask_later(out);
+    }
+
+    /// Asks for the list after 1 s, doubled up to 8 s at each failure and halved at each answer, from half to
+    /// three halves of it by chance: the list is one small service for all, whose queue must run dry first.
+    fn ask_later(&mut self, out: &mut dyn Carrier) {
+        let wait = (SECOND / 2) << self.watch_fails;
         let by_chance = self.chance.below(wait);
         out.wake(WATCH_TOKEN, wait / 2 + by_chance);
     }
 
+    /// Whether the next call for the list waits until it is asked for.
+    pub fn rests_from_list(&self) -> bool {
+        self.watch_fails > 0
+    }
+
     /// Whether nothing will name this cache any more, so that its place may be another's.
     pub fn done_with(&self, cache: Cache) -> bool {
         let c = &self.caches[cache];
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -46,10 +46,13 @@
         core.ex.spawn(async move { beating.clock.keep_beat().await }).detach();
         core.ex.spawn(flow::wakes(core.clone())).detach();
         core.ex.spawn(flow::sweep(core.clone())).detach();
-        platform::known(&core, &known);
+        let known = platform::known(&core, &known);
         let of_servers = resp.is_some() && membership.is_none() && list.is_none();
-        let list =
-            if of_servers { None } else { Some(List::follow(&core, list, membership.as_ref(), listen)) };
+        let list = if of_servers {
+            None
+        } else {
+            Some(List::follow(&core, (list, known), membership.as_ref(), listen))
+        };
         if let (Some(resp), Some(resp_listener)) = (&resp, resp_listener) {
             let door =
                 resp_door::Door::new(&core, settings(resp, core.rules.account.namespaces.len()), of_servers);
--- a/crates/proxy/src/sources.rs
+++ b/crates/proxy/src/sources.rs
@@ -27,14 +27,14 @@
     /// Follows it from now on.
     pub fn follow(
         core: &Rc<Core>,
-        at: Option<SocketAddr>,
+        (at, known): (Option<SocketAddr>, Option<u64>),
         from: Option<&Membership>,
         listen: SocketAddr,
     ) -> List {
         let Some(from) = from else {
             // The configuration was read with one of the two.
             let source = Source::new(at.unwrap_or(listen));
-            core.ex.spawn(platform::follow(core.clone(), source.clone())).detach();
+            core.ex.spawn(platform::follow(core.clone(), source.clone(), known)).detach();
             return List::Platform(source);
         };
         let trust = match from.from {
