What is beyond one idle connection to a cache is given back after a quarter second

Seen, counted over all proxies (a probe wrote each connection opened and each answer with the age of its connection): the origin answered "full" and closed to 1,127 of 34,000 shots on zone+vast, 1,479 on join, 862 on herd, every one of them on a new connection, none on a kept one. Open at the origin: 166 to 178 on zone and 140 to 147 on herd from the second second on, whatever is asked, at one to four a proxy: its places were all held idle, for 15 s, by proxies that had once needed two side by side. Each such answer deferred its lookup and cut the proxy's room at the origin by a quarter, which then deferred 1,500 more that were never sent (3,500 on herd): together the largest share of all deferrals. Ruled out: load (answers of the origin on kept connections were in time, no shot timed out there), places at the other caches (all their "full" answers but those of draining ones left the connection open).

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -87,10 +87,13 @@
     }
 }
 
-/// Closes what is idle too long, once a second; never ends.
+/// Closes what is idle too long, once a second, and gives back what is not needed twice in `pool::SPARE`; never ends.
 pub async fn sweep(core: Rc<Core>) {
     loop {
-        Timer::after(Duration::from_secs(1)).await;
+        for _ in 0..8 {
+            Timer::after(Duration::from_millis(125)).await;
+            core.pool.trim();
+        }
         core.pool.sweep();
     }
 }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -26,6 +26,11 @@
 /// Kept for each cache at most: more than are ever out at once to a cache that is not late.
 const MOST_IDLE: usize = 64;
 
+/// How long a connection beyond the first to a cache is kept idle: what a proxy uses side by side again and again stays, as
+/// the last used goes first, and what it needed once goes back. A cache has places for so many connections, and the ones
+/// that each of a hundred proxies holds idle are the ones that none of them gets when it needs one.
+const SPARE: Duration = Duration::from_millis(250);
+
 pub struct Pool {
     idle: RefCell<HashMap<Cache, Vec<Conn>>>,
     longest: Duration,
@@ -74,6 +79,16 @@
         oldest.map(|of_cache| of_cache.remove(0));
     }
 
+    /// Gives back what is beyond one to a cache and was not used just now.
+    pub fn trim(&self) {
+        for of_cache in self.idle.borrow_mut().values_mut() {
+            // The last used stands at the end.
+            let beyond = of_cache.len().saturating_sub(1);
+            let spare = of_cache[..beyond].iter().take_while(|conn| conn.since.elapsed() >= SPARE).count();
+            of_cache.drain(..spare);
+        }
+    }
+
     /// Closes what has been idle too long or was closed by the other side.
     pub fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
@@ -81,3 +96,37 @@
         idle.retain(|_, v| !v.is_empty());
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::budget::Budget;
+    use std::net::TcpListener;
+    use std::thread::sleep;
+
+    /// Of six connections that were used side by side one is kept, and two of those that are used side by side all the
+    /// time: a hundred proxies hold a hundred places of a cache and not six hundred.
+    #[test]
+    fn connections_that_were_needed_once_are_given_back() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (pool, budget) = (Pool::new(Duration::from_secs(30)), Budget::new(64));
+        let open = || {
+            let permit = smol::block_on(budget.take(|| ()));
+            Conn::new(Async::new(TcpStream::connect(addr).unwrap()).unwrap(), addr, permit)
+        };
+        let both: Vec<Conn> = (0..6).map(|_| open()).collect();
+        both.into_iter().for_each(|conn| pool.put(0, conn));
+        let mut kept = Vec::new();
+        for side_by_side in [2, 0] {
+            for _ in 0..6 {
+                let used: Vec<Conn> = (0..side_by_side).filter_map(|_| pool.take(0, addr)).collect();
+                used.into_iter().for_each(|conn| pool.put(0, conn));
+                sleep(SPARE / 5);
+                pool.trim();
+            }
+            kept.push(pool.idle.borrow()[&0].len());
+        }
+        expect_test::expect!["[2, 1]"].assert_eq(&format!("{kept:?}"));
+    }
+}
