A late answer leaves a cache's room no larger than what was out there

Seen, counted by cache over all proxies of zone+vast from 10 to 12.5 s: of the 40 caches left a dozen answered 15 to 48 shots each only after their target and turned others away, the rest none; that is some 0.5 shots a second of one proxy at such a cache, if spread evenly (not counted by proxy). 1,850 lookups ended as late there, 2,100 more were deferred because over a third of all answers was late. A room begins at eight shots and lost an eighth at a late answer: at one shot out it acts below one, after 16 late answers, which are half a minute of a proxy's traffic. Ruled out: the list (watched by all from 7 s on), the origin (its answers were in time). At fault: policy.rs, `resize`. Change: the room is no larger than what was out there when the late answer was asked for, and loses an eighth below that.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -30,7 +30,9 @@
         let late = took > if cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
-            Ending::Resolved | Ending::TimedOut if late => c.room -= c.room / 8,
+            // No larger than what was out there: one of many proxies has one shot at a cache now and then, and
+            // would take seventeen late answers to learn what it must from two or three.
+            Ending::Resolved | Ending::TimedOut if late => c.room = (c.room * 7 / 8).min(company * 100),
             // One at a time is no load: guards caches that turn away a part of whatever comes. Where that is
             // half, one run in sixteen is of four, and a cache that is truly full answers nothing in between.
             Ending::Full if cache && c.refusals < 4 => c.room -= (c.room / 4).min(c.room.saturating_sub(100)),
