A late answer is held against a room only where few in time came before it

At fault: policy.rs, `resize`: with two proxies and some hundred answers a second and cache, one in a hundred is late by its own work, and each cut a room of eight to the one or two that were out, so that what came next asked other zones. Change: a room falls to what was out only if under seven answers came in time since the last late one; else by an eighth as before, which holds eight shots where one in seven is late. A cache that one of many proxies asks once a second has no seven.

--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -218,6 +218,7 @@
     pub stay: Tenths,   // how long it is left alone next
     pub lately: Tenths, // what its answers took, the last counting most
     pub refusals: u64,  // as full, since an answer
+    pub timely: u64,    // answers in time since the last late one
     pub room: u64,      // hundredths of a shot that it takes at once without being late
     pub credit: u64,    // while it is cold: thousandths of a shot that it may still be sent
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -30,15 +30,22 @@
         let late = took > if cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
-            // No larger than what was out there: one of many proxies has one shot at a cache now and then,
-            // and would need sixteen late answers for what five tell.
-            Ending::Resolved | Ending::TimedOut if late => c.room = (c.room * 7 / 8).min(company * 100),
+            // What was out is too much, where under seven came in time since: one of many proxies has a shot
+            // at a cache now and then. One in eight may be late by its own work.
+            Ending::Resolved | Ending::TimedOut if late => {
+                c.room = (c.room * 7 / 8).min(if c.timely < 7 { company * 100 } else { c.room });
+            }
             // One at a time is no load: guards caches that turn away a part of whatever comes. Where that is
             // half, one run in sixteen is of four, and a cache that is truly full answers nothing in between.
             Ending::Full if cache && c.refusals < 4 => c.room -= (c.room / 4).min(c.room.saturating_sub(100)),
             Ending::Full => c.room -= c.room / 4,
             _ => {}
         }
+        c.timely = match ending {
+            Ending::Resolved | Ending::TimedOut if late => 0,
+            Ending::Resolved => c.timely + 1,
+            _ => c.timely,
+        };
         c.refusals = match ending {
             Ending::Full => c.refusals + 1,
             Ending::Resolved | Ending::Miss => 0,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -152,7 +152,7 @@
     Shot { cache, sent, company, out, may_have_run, bad, fresh }
     Known {
         id, zone, cell, standing, born, out, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
-        refusals, room, credit,
+        refusals, timely, room, credit,
     }
 }
 
