A new version takes over the inherited listener and says at the operators' door when it is ready

Now $ROUTER_FD's listener is taken by pidfd_getfd, clients are taken once the list was heard, `console` answers /control/ready, and processes of a proxy know each other by checked files in $TMPDIR. Tests: pages (handover), operators (proxy).

--- /dev/null
+++ b/crates/console/src/lib.rs
@@ -0,0 +1,152 @@
+//! The operators' door: HTTP/1.1, one call to a connection, on a listener of its own.
+//!
+//! It may use `http1` and `net`. No lookup, cache connection or decision ever enters it, and no other door: what a call does
+//! is behind `Controls`. What it holds is its own: so many callers, whose connections no lookup can take and which take none
+//! of a lookup's.
+
+use chalkwalk_http1 as http1;
+use chalkwalk_net::{more, within, write_all};
+use smol::channel::{Sender, bounded};
+use smol::future::FutureExt;
+use smol::{Async, Timer};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How many callers are heard at once; one more, and whoever has been silent longest makes way. Staff and their tools make
+/// a few calls a second, each over within milliseconds.
+pub const CALLERS: usize = 16;
+/// From the accept to the whole call, and again from its answer's first byte to the end of the connection.
+const SLOWEST: Duration = Duration::from_secs(1);
+/// After an accept that failed.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// What came of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Done {
+    Yes,
+    /// Not now.
+    No,
+}
+
+/// What operators may do to a proxy. Each returns once it is in force.
+pub trait Controls {
+    /// Whether this process is ready to serve.
+    fn ready(&self) -> Done;
+}
+
+/// Callers whose call is not whole yet, the one that came first in front.
+type Silent = Rc<RefCell<VecDeque<(u64, Sender<()>)>>>;
+
+/// A task of its own for each caller.
+pub type Task = Pin<Box<dyn Future<Output = ()>>>;
+
+/// Takes calls, for ever.
+pub async fn accept(listener: Async<TcpListener>, controls: Rc<dyn Controls>, spawn: impl Fn(Task)) {
+    let silent = Silent::default();
+    let (done, over) = bounded::<()>(CALLERS);
+    let (mut open, mut next) = (0, 0);
+    loop {
+        while over.try_recv().is_ok() {
+            open -= 1;
+        }
+        if open >= CALLERS {
+            // Guards callers against others that stay and say nothing.
+            if let Some((_, close)) = silent.borrow_mut().pop_front() {
+                _ = close.try_send(());
+            }
+            if over.recv().await.is_ok() {
+                open -= 1;
+            }
+            continue;
+        }
+        match listener.get_ref().accept() {
+            Ok((stream, _)) => {
+                let Ok(stream) = Async::new(stream) else { continue };
+                (open, next) = (open + 1, next + 1);
+                let (close, closed) = bounded(1);
+                silent.borrow_mut().push_back((next, close));
+                let (controls, silent, done) = (controls.clone(), silent.clone(), done.clone());
+                let caller = async move {
+                    let made_way = async {
+                        _ = closed.recv().await;
+                        None
+                    };
+                    let said = async { Some(heard(&stream).await) };
+                    let said = said.or(made_way).await;
+                    silent.borrow_mut().retain(|(other, _)| *other != next);
+                    if let Some(said) = said {
+                        let (status, words) =
+                            said.map_or_else(|status| (status, ""), |call| answer(&*controls, &call));
+                        let told = tell(&stream, status, words);
+                        within(SLOWEST, told).await;
+                    }
+                    drop(stream);
+                    _ = done.try_send(());
+                };
+                spawn(Box::pin(caller));
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => _ = listener.readable().await,
+            Err(_) => _ = Timer::after(ACCEPT_AGAIN).await,
+        }
+    }
+}
+
+/// The method and path of a call, or the status that says what is wrong with it.
+async fn heard(stream: &Async<TcpStream>) -> Result<(String, String), u16> {
+    let mut rest = Vec::new();
+    let message = within(SLOWEST, http1::question(stream, &mut rest)).await.unwrap_or(Err(408))?;
+    Ok((message.word(&message.method).to_string(), message.word(&message.target).to_string()))
+}
+
+fn answer(controls: &dyn Controls, (method, target): &(String, String)) -> (u16, &'static str) {
+    let path = target.split('?').next().unwrap_or("");
+    let parts: Vec<&str> = path.strip_prefix("/control/").unwrap_or("").split('/').collect();
+    let (wanted, call): (&str, Box<dyn Fn() -> Done>) = match parts[..] {
+        ["ready"] => ("GET", Box::new(|| controls.ready())),
+        _ => return (404, "no such call\n"),
+    };
+    if method != wanted {
+        return (405, "another method\n");
+    }
+    match call() {
+        Done::Yes => (200, "yes\n"),
+        Done::No => (503, "no\n"),
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        _ => "Internal Server Error",
+    }
+}
+
+/// The answer, and the connection's end: what the caller still sends is read and dropped, or the answer would be lost to a
+/// reset.
+async fn tell(stream: &Async<TcpStream>, status: u16, words: &str) {
+    let head = format!(
+        "HTTP/1.1 {status} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{words}",
+        reason(status),
+        words.len()
+    );
+    if write_all(stream, &[head.as_bytes()]).await.is_err() {
+        return;
+    }
+    _ = stream.get_ref().shutdown(Shutdown::Write);
+    let mut dropped = Vec::new();
+    while let Ok(1..) = more(stream, &mut dropped).await {
+        dropped.clear();
+    }
+}
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -10,11 +10,11 @@
 use crate::pool::Pool;
 use crate::rules::Rules;
 use chalkwalk_capture::Tape;
-use chalkwalk_net::Room;
+use chalkwalk_net::{Room, wait_until};
 use chalkwalk_policy::Tenths;
 use slog::Logger;
+use smol::LocalExecutor;
 use smol::channel::{Receiver, bounded};
-use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -36,6 +36,7 @@
     clients: Cell<usize>, // their open connections
     welcomed: Cell<u64>,
     leaving: Cell<Option<(Tenths, Tenths)>>, // since when, and when every answer must be out
+    heard_list: Cell<bool>,
 }
 
 impl Core {
@@ -63,6 +64,7 @@
             clients: Cell::new(0),
             welcomed: Cell::new(0),
             leaving: Cell::new(None),
+            heard_list: Cell::new(false),
             classes,
             rules,
         })
@@ -78,6 +80,15 @@
         _ = self.wanted.try_recv();
     }
 
+    /// A source of the list has answered since the start.
+    pub fn list_heard(&self) {
+        self.heard_list.set(true);
+    }
+
+    pub fn has_heard_list(&self) -> bool {
+        self.heard_list.get()
+    }
+
     /// The capture ends, with all that was told by now.
     pub fn stop_capture(&self) {
         self.book.borrow_mut().stop_capture();
@@ -115,23 +126,37 @@
         Counted { core: core.clone(), place: core.welcomed.get() * 618 % 1000 }
     }
 
-    /// When it is closed, once the proxy has been told to end. Not before two thirds of the time that is left to the
-    /// proxy, as whoever was restarted before may not be heard of yet, and not after five sixths, so that what is taken
-    /// until then is answered; in between one by one, not to flood the others.
-    fn turn(&self) -> Option<Tenths> {
-        let (told, last) = self.core.leaving.get()?;
-        Some(told + (last - told) * (4000 + self.place) / 6000)
+    /// When it is closed: from the first moment on with an answer that says so, at the second though it is idle.
+    ///
+    /// Told to end, not before two thirds of the time that is left to the proxy, as whoever was restarted before may not be
+    /// heard of yet, and not after five sixths, so that what is taken until then is answered; in between one by one, not to
+    /// flood the others. Where another process of this proxy has taken over, with answers from the first second on: who
+    /// connects again comes to that one, and a connection that is told to close meets no lookup.
+    ///
+    /// Out of service, with answers within the first second, and idle within two: the front has heard of it by then, and at
+    /// four seconds none may be open that had a lookup in the last two.
+    fn turn(&self) -> Option<(Tenths, Tenths)> {
+        let life = &self.core.life;
+        if let Some((told, last)) = self.core.leaving.get() {
+            let late = told + (last - told) * (4000 + self.place) / 6000;
+            return Some((if life.succeeded() { told + 10 * self.place } else { late }, late));
+        }
+        life.out_since().map(|since| (since + 2000 + 8 * self.place, since + 10_000 + 8 * self.place))
     }
 
     pub fn turn_is_over(&self) -> bool {
-        self.turn().is_some_and(|turn| turn <= self.core.clock.now())
+        self.turn().is_some_and(|(answered, _)| answered <= self.core.clock.now())
     }
 
-    /// Comes to its end at that moment.
+    /// Comes to its end when it is closed though idle.
     pub async fn turn_comes(&self) {
-        self.core.life.reached(Phase::Leaving).await;
-        if let Some(turn) = self.turn() {
-            Timer::at(self.core.clock.instant(turn)).await;
+        loop {
+            let turns = self.core.life.turns();
+            match self.turn() {
+                None => turns.await,
+                Some((_, idle)) if idle <= self.core.clock.now() => return,
+                Some((_, idle)) => _ = wait_until(self.core.clock.instant(idle), turns).await,
+            }
         }
     }
 }
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -24,8 +24,11 @@
     let told = core.clock.now();
     let last = told + core.rules.longest_limit().min(LONGEST_LIMIT) + TO_THE_LAST;
     core.leave(told, last);
-    info!(core.log, "leaving"; "open" => core.book.borrow().open());
-    Timer::after(STILL_ACCEPTING).await;
+    info!(core.log, "leaving"; "open" => core.book.borrow().open(), "succeeded" => core.life.succeeded());
+    // A successor takes who comes from now on.
+    if !core.life.succeeded() {
+        Timer::after(STILL_ACCEPTING).await;
+    }
     core.life.enter(Phase::Emptying);
     // Where all places are taken, those that wait for one do so no longer than to the last answer.
     wait_until(core.clock.instant(last), accepting).await;
--- a/crates/core/src/life.rs
+++ b/crates/core/src/life.rs
@@ -1,5 +1,7 @@
 //! The program's phases, from start to exit, as named states of one object.
 
+use chalkwalk_policy::Tenths;
+use event_listener::Event;
 use smol::channel::{Receiver, Sender, bounded};
 use std::cell::{Cell, RefCell};
 
@@ -18,11 +20,20 @@
 pub struct Life {
     phase: Cell<Phase>,
     told: RefCell<Vec<(Phase, Sender<()>)>>,
+    out_since: Cell<Option<Tenths>>, // operators have emptied the proxy
+    succeeded: Cell<bool>,           // another process of this proxy has taken over
+    turned: Event,
 }
 
 impl Default for Life {
     fn default() -> Life {
-        Life { phase: Cell::new(Phase::Starting), told: RefCell::default() }
+        Life {
+            phase: Cell::new(Phase::Starting),
+            told: RefCell::default(),
+            out_since: Cell::new(None),
+            succeeded: Cell::new(false),
+            turned: Event::new(),
+        }
     }
 }
 
@@ -32,6 +43,7 @@
             self.phase.set(phase);
             // A dropped sender wakes the one that waits.
             self.told.borrow_mut().retain(|(awaited, _)| *awaited > phase);
+            self.turned.notify(usize::MAX);
         }
     }
 
@@ -51,8 +63,39 @@
         told.push((phase, tell));
     }
 
-    /// What `/up` says.
+    /// What `/up` says. Where another process has taken over, the proxy is up though this process ends.
     pub fn usable(&self) -> bool {
+        let serving = self.phase.get() == Phase::Serving || self.succeeded.get();
+        serving && self.out_since.get().is_none()
+    }
+
+    /// Whether this process serves: it was started, and not told to end.
+    pub fn serves(&self) -> bool {
         self.phase.get() == Phase::Serving
     }
+
+    /// Operators empty the proxy from then on, or no longer.
+    pub fn put_out(&self, since: Option<Tenths>) {
+        if self.out_since.get().is_some() != since.is_some() {
+            self.out_since.set(since);
+            self.turned.notify(usize::MAX);
+        }
+    }
+
+    pub fn out_since(&self) -> Option<Tenths> {
+        self.out_since.get()
+    }
+
+    pub fn succeed(&self) {
+        self.succeeded.set(true);
+    }
+
+    pub fn succeeded(&self) -> bool {
+        self.succeeded.get()
+    }
+
+    /// Comes to its end when a phase is entered, or the proxy put out of service or back, after this call.
+    pub fn turns(&self) -> impl Future<Output = ()> + use<> {
+        self.turned.listen()
+    }
 }
--- /dev/null
+++ b/crates/handover/src/lib.rs
@@ -0,0 +1,104 @@
+//! What the processes of one proxy tell each other over an upgrade: caches that operators took out, whether the proxy is in
+//! service, who is ready. Each process writes a file of its own, and of what two say on a matter the later word holds.
+//!
+//! It may use serde and a checksum. No file, clock or socket ever enters it: times are passed in, files come as texts.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Whole tenths of a millisecond, Unix time.
+pub type Tenths = u64;
+
+/// The first word of each file, with the version of its form. Another version is not read.
+const MARK: &str = "chalkwalk-handover-1";
+
+/// Longer than any that is written: ten thousand caches out, of 60 bytes each.
+pub const LONGEST: usize = 1 << 20;
+
+/// Entries that say what holds anyway are kept for so long, so that every process has read them: it does so ten times a
+/// second.
+const SETTLED: Tenths = 600_000;
+
+/// The last word on a matter, and when it was said.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Word {
+    pub at: Tenths,
+    pub out: bool,
+}
+
+/// One process, and all that it knows operators to have said.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Page {
+    pub pid: u32,
+    /// When it started: of two that are ready, the later is the successor.
+    pub began: Tenths,
+    /// Since when it is ready, if it is.
+    pub ready: Option<Tenths>,
+    /// By the ids of caches: whether each is out.
+    pub caches: BTreeMap<String, Word>,
+    /// Whether the proxy is out of service.
+    pub service: Word,
+}
+
+impl Page {
+    /// Takes what another process says. Returns the caches of which something else holds now, and whether that is so of the
+    /// service.
+    pub fn merge(&mut self, other: &Page) -> (Vec<String>, bool) {
+        let mut changed = Vec::new();
+        for (id, word) in &other.caches {
+            let own = self.caches.get(id).copied().unwrap_or_default();
+            if word.at > own.at {
+                self.caches.insert(id.clone(), *word);
+                if word.out != own.out {
+                    changed.push(id.clone());
+                }
+            }
+        }
+        let was = self.service;
+        if other.service.at > was.at {
+            self.service = other.service;
+        }
+        (changed, self.service.out != was.out)
+    }
+
+    /// An operator says that a cache is out, or back. The later word holds, also where a clock was set back in between.
+    pub fn say(&mut self, cache: &str, out: bool, now: Tenths) {
+        let at = self.caches.get(cache).map_or(now, |word| now.max(word.at + 1));
+        self.caches.insert(cache.to_string(), Word { at, out });
+    }
+
+    pub fn say_service(&mut self, out: bool, now: Tenths) {
+        self.service = Word { at: now.max(self.service.at + 1), out };
+    }
+
+    pub fn is_out(&self, cache: &str) -> bool {
+        self.caches.get(cache).is_some_and(|word| word.out)
+    }
+
+    /// Whether the other has taken over from this one.
+    pub fn succeeded_by(&self, other: &Page) -> bool {
+        other.ready.is_some() && (other.began, other.pid) > (self.began, self.pid)
+    }
+
+    /// Forgets what was settled long ago.
+    pub fn tidy(&mut self, now: Tenths) {
+        self.caches.retain(|_, word| word.out || now < word.at + SETTLED);
+    }
+
+    /// As it is written to a file.
+    pub fn written(&self) -> String {
+        let body = serde_json::to_string(self).unwrap_or_default();
+        format!("{MARK} {:08x} {body}\n", crc32fast::hash(body.as_bytes()))
+    }
+
+    /// From a file's text, or what is wrong with it.
+    pub fn read(text: &str) -> Result<Page, &'static str> {
+        let rest = text.strip_prefix(MARK).and_then(|rest| rest.strip_prefix(' '));
+        let rest = rest.ok_or("no handover of a version that is known")?;
+        let (sum, body) = rest.strip_suffix('\n').and_then(|rest| rest.split_once(' ')).ok_or("cut short")?;
+        if u32::from_str_radix(sum, 16) != Ok(crc32fast::hash(body.as_bytes())) {
+            return Err("a checksum that is another");
+        }
+        serde_json::from_str(body).map_err(|_| "nothing that makes sense")
+    }
+}
--- /dev/null
+++ b/crates/handover/tests/pages.rs
@@ -0,0 +1,75 @@
+//! What two processes of a proxy come to know of each other, whoever reads whom first.
+
+use chalkwalk_handover::{Page, Word};
+use expect_test::expect;
+use proptest::prelude::*;
+
+fn page(began: u64) -> Page {
+    Page { pid: 7, began, ..Page::default() }
+}
+
+#[test]
+fn the_later_word_holds_and_a_back_call_undoes_two_out_calls() {
+    let (mut old, mut new) = (page(1), page(2));
+    old.say("amber", true, 100);
+    old.say("amber", true, 110);
+    let mut seen = vec![format!("{:?}", new.merge(&old))];
+    new.say("amber", false, 105); // by a clock that was set back
+    new.say("birch", true, 120);
+    new.say_service(true, 130);
+    seen.push(format!("{:?}", old.merge(&new)));
+    seen.push(format!("{:?} {:?}", old.merge(&new), old.is_out("amber")));
+    new.ready = Some(140);
+    seen.push(format!("{} {}", old.succeeded_by(&new), new.succeeded_by(&old)));
+    old.tidy(700_000);
+    seen.push(format!("{:?}", old.caches.keys().collect::<Vec<_>>()));
+    expect![[r#"
+        (["amber"], false)
+        (["amber", "birch"], true)
+        ([], false) false
+        true false
+        ["birch"]"#]]
+    .assert_eq(&seen.join("\n"));
+}
+
+#[test]
+fn a_file_that_is_cut_spoilt_or_foreign_is_none() {
+    let mut of = page(3);
+    of.say("amber", true, 4);
+    let text = of.written();
+    assert_eq!(Page::read(&text), Ok(of));
+    for cut in 0..text.len() {
+        assert!(Page::read(&text[..cut]).is_err(), "cut at {cut}");
+    }
+    let other = text.replace("handover-1", "handover-2");
+    let spoilt = text.replace("amber", "ember");
+    let faults: Vec<_> = ["", "{}", &other, &spoilt].iter().map(|t| Page::read(t).unwrap_err()).collect();
+    expect!["no handover of a version that is known; no handover of a version that is known; no handover of a version that is known; a checksum that is another"]
+        .assert_eq(&faults.join("; "));
+}
+
+fn any_page() -> impl Strategy<Value = Page> {
+    let word = || (0..20u64, any::<bool>()).prop_map(|(at, out)| Word { at: 2 * at + u64::from(out), out });
+    (prop::collection::btree_map("[abc]", word(), 0..4), word()).prop_map(|(caches, service)| Page {
+        caches,
+        service,
+        ..Page::default()
+    })
+}
+
+proptest! {
+    /// Whoever reads whom first and however often, both hold the same in the end.
+    #[test]
+    fn two_that_read_each_other_agree(a in any_page(), b in any_page()) {
+        let (mut one, mut other) = (a.clone(), b.clone());
+        one.merge(&b);
+        other.merge(&one);
+        one.merge(&other);
+        let mut once_more = one.clone();
+        prop_assert_eq!(once_more.merge(&other), (vec![], false));
+        for id in a.caches.keys().chain(b.caches.keys()) {
+            prop_assert_eq!(one.is_out(id), other.is_out(id));
+        }
+        prop_assert_eq!(one.service, other.service);
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,8 @@
 /// What the platform tells a proxy at its start.
 pub struct HouseRules {
     pub listen: SocketAddr,
+    /// Where operators call, if they do.
+    pub console: Option<SocketAddr>,
     /// Where the platform's list is, if there is one.
     pub list: Option<SocketAddr>,
     /// The list as this proxy last had it.
@@ -91,12 +93,17 @@
             zones,
             kinds,
         };
+        let optional = |name: &str| match text_or(said, name, "")? {
+            "" => Ok(None),
+            at => address(at, &format!("field {name}")).map(Some),
+        };
         Ok(HouseRules {
             listen: address(text(said, "listen")?, "field listen")?,
-            list: match text_or(said, "discovery", "")? {
-                "" => None,
-                at => Some(address(at, "field discovery")?),
+            console: match (optional("console")?, std::env::var("ROUTER_CONSOLE")) {
+                (None, Ok(at)) if !at.is_empty() => Some(address(&at, "ROUTER_CONSOLE")?),
+                (said, _) => said,
             },
+            list: optional("discovery")?,
             known: said.get("known").cloned().unwrap_or(Value::Null),
             namespaces,
             core,
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -42,6 +42,8 @@
     older: u32,
     highest: u64,
     doubted: Option<Tenths>, // since when its versions are below the highest
+    /// The next call is answered at once, though nothing is newer: a process that takes over serves once it knows so.
+    at_once: bool,
 }
 
 fn standing(state: &str) -> Read<Standing> {
@@ -108,10 +110,10 @@
 }
 
 /// Watches whenever the router asks for it, until a call fails; the router hears of that and asks again. `known`: the
-/// version of the list that was known at the start, from which the first call goes on.
-pub async fn follow(core: Rc<Core>, source: Rc<Source>, known: Option<u64>) {
+/// version of the list that was known at the start, from which the first call goes on. `at_once`: that one waits for no news.
+pub async fn follow(core: Rc<Core>, source: Rc<Source>, known: Option<u64>, at_once: bool) {
     let version = known.unwrap_or(0);
-    let mut held = Held { version, since: known.is_some(), highest: version, ..Held::default() };
+    let mut held = Held { version, since: known.is_some(), highest: version, at_once, ..Held::default() };
     let mut first = true;
     loop {
         let wanted = async {
@@ -164,8 +166,9 @@
 impl Held {
     /// Which call comes next, and how long it may wait for news.
     fn next_call(&self) -> (String, Duration) {
+        let watch = if self.at_once { Duration::ZERO } else { WATCH };
         match self.since {
-            true => (format!("/discovery/hosts?index={}&wait={}", self.version, WATCH.as_millis()), WATCH),
+            true => (format!("/discovery/hosts?index={}&wait={}", self.version, watch.as_millis()), watch),
             false => ("/discovery/hosts".to_string(), Duration::ZERO),
         }
     }
@@ -182,8 +185,9 @@
     let since = (version < held.highest).then(|| held.doubted.unwrap_or(now));
     let doubted = since.filter(|since| now < since + DOUBTED);
     take(core, said, flag(said, "full")?, doubted.is_some())?;
+    core.list_heard();
     let highest = if since.is_some() && doubted.is_none() { version } else { held.highest.max(version) };
-    *held = Held { version, since: true, older: 0, highest, doubted };
+    *held = Held { version, since: true, older: 0, highest, doubted, at_once: false };
     Ok(())
 }
 
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -3,6 +3,9 @@
 
 mod captures;
 mod given;
+mod inherited;
+mod operators;
+mod pages;
 mod serve;
 mod sources;
 
@@ -84,13 +87,19 @@
     no_more(args)?;
     let read = given.read()?;
     let rules = &read.rules;
-    let listener = TcpListener::bind(rules.listen);
-    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", rules.listen))?;
+    let inherited = inherited::listener()?;
+    let handed = inherited.is_some();
+    let listener = match inherited {
+        Some(listener) => listener,
+        None => {
+            TcpListener::bind(rules.listen).map_err(|e| format!("cannot listen on {}: {e}", rules.listen))?
+        }
+    };
     // The library's 128 are soon filled while all clients connect at once; one over waits for a second.
     let longer = socket2::SockRef::from(&listener).listen(1024);
     longer.map_err(|e| format!("cannot listen on {}: {e}", rules.listen))?;
     let (log, _flushed) = logger(&rules.core.name, json);
-    serve::run(given, read, log, listener)
+    serve::run(given, read, log, (listener, handed))
 }
 
 fn check(mut args: Args) -> Result<(), String> {
--- /dev/null
+++ b/crates/proxy/src/operators.rs
@@ -0,0 +1,79 @@
+//! What operators say to this proxy, kept for the process that comes after it, and heard from the one before it.
+
+use crate::pages::Pages;
+use chalkwalk_console::{self as console, Controls, Done};
+use chalkwalk_core::core::Core;
+use slog::{info, warn};
+use smol::{Async, Timer};
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often the files of the proxy's other processes are read: a tenth of the second in which what an operator says is to
+/// be in force everywhere.
+const READ_AGAIN: Duration = Duration::from_millis(100);
+
+pub struct Operators {
+    core: Rc<Core>,
+    pages: RefCell<Pages>,
+}
+
+impl Operators {
+    /// Takes over what another process of this proxy has been told, and hears operators and the others from now on.
+    pub fn start(core: &Rc<Core>, listener: Async<TcpListener>) -> Rc<Operators> {
+        let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(Into::into);
+        let pages = Pages::new(folder, &core.rules.name, core.clock.now());
+        let operators = Rc::new(Operators { core: core.clone(), pages: RefCell::new(pages) });
+        operators.read();
+        core.ex.spawn(operators.clone().follow()).detach();
+        let ex = core.clone();
+        let spawn = move |task: console::Task| ex.ex.spawn(task).detach();
+        core.ex.spawn(console::accept(listener, operators.clone(), spawn)).detach();
+        operators
+    }
+
+    async fn follow(self: Rc<Operators>) {
+        loop {
+            self.read();
+            self.tell_ready();
+            Timer::after(READ_AGAIN).await;
+        }
+    }
+
+    /// Has the others know whether this process serves.
+    fn tell_ready(&self) {
+        let (ready, serves) = (self.pages.borrow().own.ready.is_some(), self.core.life.serves());
+        if serves != ready {
+            self.pages.borrow_mut().own.ready = serves.then(|| self.core.clock.now());
+            self.write();
+            info!(self.core.log, "{}", if serves { "ready" } else { "no longer ready" });
+        }
+    }
+
+    /// Reads what the other processes say.
+    pub fn read(&self) {
+        let (now, core) = (self.core.clock.now(), &self.core);
+        let news = self.pages.borrow_mut().read(now, &core.log);
+        if news.succeeded {
+            core.life.succeed();
+        }
+    }
+
+    /// Whether the others can read what this one has to say.
+    fn write(&self) -> bool {
+        let written = self.pages.borrow_mut().write(self.core.clock.now());
+        if let Err(e) = &written {
+            warn!(self.core.log, "handover not written"; "fault" => %e);
+        }
+        written.is_ok()
+    }
+}
+
+impl Controls for Operators {
+    fn ready(&self) -> Done {
+        // The old process is told to end as soon as this says yes, and has to know then who takes over.
+        self.tell_ready();
+        if self.core.life.serves() { Done::Yes } else { Done::No }
+    }
+}
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -1,6 +1,7 @@
 //! One proxy from the first phase to the last: what it is made of, and the signals it hears.
 
 use crate::given::{Given, Read};
+use crate::operators::Operators;
 use crate::sources::List;
 use async_signal::{Signal, Signals};
 use chalkwalk_capture::{Keep, Tape, Writer};
@@ -12,23 +13,38 @@
 use chalkwalk_operator::{Capture, Membership, Resp};
 use chalkwalk_platform::{self as platform, HouseRules};
 use chalkwalk_resp_door as resp_door;
+use chalkwalk_source::Feed;
 use slog::{Logger, info, warn};
 use smol::stream::StreamExt;
 use smol::{Async, Timer};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Serves until it is told to end.
-pub fn run(given: Given, read: Read, log: Logger, listener: TcpListener) -> Result<(), String> {
+/// A new process waits for the list for so long: the platform gives it 6 s to be ready, and the old one serves meanwhile.
+const LIST_HEARD: Duration = Duration::from_secs(4);
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Serves until it is told to end. `handed`: the listener is the platform's, and other processes of this proxy have it too.
+pub fn run(
+    given: Given,
+    read: Read,
+    log: Logger,
+    (listener, handed): (TcpListener, bool),
+) -> Result<(), String> {
     let Read { rules, membership, resp, capture } = read;
-    let HouseRules { listen, list, known, namespaces, core: rules } = rules;
+    let HouseRules { listen, console, list, known, namespaces, core: rules } = rules;
     let listener = Async::new(listener).map_err(|e| format!("cannot listen: {e}"))?;
     let resp_listener = resp.as_ref().map(|r| {
         let bound = TcpListener::bind(r.listen);
         bound.and_then(Async::new).map_err(|e| format!("cannot listen on {}: {e}", r.listen))
     });
     let resp_listener = resp_listener.transpose()?;
+    let console = console.map(|at| {
+        let bound = TcpListener::bind(at).and_then(Async::new);
+        bound.map_err(|e| format!("cannot listen on {at}: {e}"))
+    });
+    let console = console.transpose()?;
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
     let mut signals = signals.map_err(|e| format!("cannot hear signals: {e}"))?;
     // Caches speak one protocol, by which they are probed.
@@ -51,7 +67,7 @@
         let list = if of_servers {
             None
         } else {
-            Some(List::follow(&core, (list, known), membership.as_ref(), listen))
+            Some(List::follow(&core, (list, known), membership.as_ref(), (listen, handed)))
         };
         if let (Some(resp), Some(resp_listener)) = (&resp, resp_listener) {
             let door =
@@ -63,19 +79,18 @@
         // Caches that speak RESP can't be asked over HTTP: there its door has no namespace, and only says how the proxy is.
         let namespaces = if resp.is_some() { Vec::new() } else { namespaces };
         let door = http::Door::new(core.clone(), namespaces);
-        let accepting = core.ex.spawn(http::accept(door, listener));
-        match list.as_ref().and_then(List::feed) {
-            Some(feed) => core.ex.spawn(List::serve(core.clone(), feed)).detach(),
-            None => core.life.enter(Phase::Serving),
-        }
-        info!(core.log, "serving"; "listen" => %listen);
+        let feed = list.as_ref().and_then(List::feed);
+        let operators = console.map(|listener| Operators::start(&core, listener));
+        let accepting = core.ex.spawn(open_doors(core.clone(), door, listener, feed, (handed, listen)));
         loop {
             match signals.next().await {
                 Some(Ok(Signal::Hup)) => reread(&core, &given, list.as_ref(), (&membership, &resp, &capture)),
                 Some(Ok(_)) => break,
-                _ => _ = Timer::after(Duration::from_secs(1)).await,
+                None | Some(Err(_)) => _ = Timer::after(Duration::from_secs(1)).await,
             }
         }
+        // Whether another process has taken over is known as of this moment.
+        operators.iter().for_each(|operators| operators.read());
         drain::leave(&core, accepting).await;
         core.stop_capture();
     }));
@@ -85,6 +100,39 @@
     Ok(())
 }
 
+/// Takes clients. Where another process may be taking them, not before this one can serve them: it has heard the list, or has
+/// waited for it for as long as it may.
+async fn open_doors(
+    core: Rc<Core>,
+    door: Rc<http::Door>,
+    listener: Async<TcpListener>,
+    feed: Option<Rc<Feed>>,
+    (handed, listen): (bool, SocketAddr),
+) {
+    let serves = async {
+        match feed {
+            Some(feed) => List::serve(core.clone(), feed).await,
+            None if handed => {
+                let end = Instant::now() + LIST_HEARD;
+                while !core.has_heard_list() && Instant::now() < end {
+                    Timer::after(LOOK).await;
+                }
+                core.life.enter(Phase::Serving);
+            }
+            None => core.life.enter(Phase::Serving),
+        }
+        info!(core.log, "serving"; "listen" => %listen);
+    };
+    if handed {
+        serves.await;
+        http::accept(door, listener).await;
+    } else {
+        let accepting = core.ex.spawn(http::accept(door, listener));
+        serves.await;
+        accepting.await;
+    }
+}
+
 /// Reads both files again, and takes both or neither: the list may have moved, other limits may hold, and all else stays
 /// as it was at the start. What the configuration knows of caches is as old as the file, and what the list has told since
 /// is newer.
--- a/crates/proxy/src/sources.rs
+++ b/crates/proxy/src/sources.rs
@@ -24,17 +24,17 @@
 }
 
 impl List {
-    /// Follows it from now on.
+    /// Follows it from now on. `at_once`: another process of this proxy serves until this one has heard it.
     pub fn follow(
         core: &Rc<Core>,
         (at, known): (Option<SocketAddr>, Option<u64>),
         from: Option<&Membership>,
-        listen: SocketAddr,
+        (listen, at_once): (SocketAddr, bool),
     ) -> List {
         let Some(from) = from else {
             // The configuration was read with one of the two.
             let source = Source::new(at.unwrap_or(listen));
-            core.ex.spawn(platform::follow(core.clone(), source.clone(), known)).detach();
+            core.ex.spawn(platform::follow(core.clone(), source.clone(), known, at_once)).detach();
             return List::Platform(source);
         };
         let trust = match from.from {
--- /dev/null
+++ b/crates/proxy/tests/operators.rs
@@ -0,0 +1,166 @@
+//! What operators do to a running proxy: each test prints what they, clients and stand-ins saw.
+
+mod day;
+
+use day::*;
+use expect_test::expect;
+use serde_json::{Value, json};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// A proxy whose clients' listener is held by the test, as the platform holds it.
+struct Held {
+    listener: TcpListener,
+    folder: PathBuf,
+    configuration: Value,
+}
+
+/// One of its processes.
+struct Process {
+    child: Child,
+    console: SocketAddr,
+}
+
+impl Held {
+    fn new(name: &str, caches: &[Value]) -> Held {
+        let folder =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let listener = TcpListener::bind(own_address()).unwrap();
+        let (of_list, at) = a_listener();
+        list(of_list, vec![whole(2, caches)], Default::default());
+        let configuration = configuration(listener.local_addr().unwrap(), at, caches, 256);
+        Held { listener, folder, configuration }
+    }
+
+    fn start(&self) -> Process {
+        let console = own_address();
+        let mut configuration = self.configuration.clone();
+        configuration["console"] = json!(console.to_string());
+        let path = a_file();
+        std::fs::write(&path, configuration.to_string()).unwrap();
+        let proxy = env!("CARGO_BIN_EXE_chalkwalk");
+        let command = format!("exec 4<&0; exec {proxy} serve --config {path}");
+        let mut sh = Command::new("sh");
+        sh.args(["-c", &command]).env("ROUTER_FD", "4").env("TMPDIR", &self.folder);
+        let inherited = Stdio::from(OwnedFd::from(self.listener.try_clone().unwrap()));
+        Process { child: sh.stdin(inherited).stderr(Stdio::piped()).spawn().unwrap(), console }
+    }
+
+    fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.listener.local_addr().unwrap()).unwrap()
+    }
+}
+
+/// What the operators' door says to a call: the status alone, or none.
+fn call(console: SocketAddr, method: &str, path: &str) -> String {
+    let Ok(mut stream) = TcpStream::connect(console) else { return "nobody".into() };
+    stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: c\r\n\r\n").as_bytes()).unwrap();
+    message(&mut stream).map_or("closed".into(), |(head, _)| head[9..12].to_string())
+}
+
+impl Process {
+    fn call(&self, method: &str, path: &str) -> String {
+        call(self.console, method, path)
+    }
+
+    fn wait_ready(&self) {
+        wait_for(|| self.call("GET", "/control/ready") == "200");
+    }
+
+    fn signal(&self, name: &str) {
+        Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
+
+/// The answer's status, and whether the connection is closed with it.
+fn ask(stream: &mut TcpStream, key: &str) -> String {
+    let text = format!(
+        "GET /api/{key} HTTP/1.1\r\nX-Correlation-Id: {key}\r\nX-Service-Class: page\r\nX-Time-Left: 1.5\r\n\r\n"
+    );
+    stream.write_all(text.as_bytes()).unwrap();
+    let Some((head, _)) = message(stream) else { return "lost".into() };
+    format!("{}{}", &head[9..12], if head.contains("Connection: close") { " and closes" } else { "" })
+}
+
+fn caches(names: &[&'static str]) -> (Told, Vec<Value>) {
+    let (told, mut lines) = (Told::default(), Vec::new());
+    for name in names {
+        let (listener, addr) = a_listener();
+        lines.push(line(name, addr, "SERVING"));
+        stand_in(listener, told.clone(), name, held);
+    }
+    (told, lines)
+}
+
+/// A second process takes over the listener; the first tells its clients to close with their answers, and no one meets a
+/// connection that is gone. What is spoilt in the folder is passed over.
+#[test]
+fn a_new_version_takes_over_under_load() {
+    let (_told, lines) = caches(&["amber", "birch"]);
+    let held = Held::new("upgrade", &lines);
+    std::fs::write(held.folder.join("chalkwalk.p.1.handover"), "half a").unwrap();
+    let mut old = held.start();
+    old.wait_ready();
+    let mut client = held.connect();
+    let mut seen = vec![ask(&mut client, "k1")];
+    let new = held.start();
+    new.wait_ready();
+    seen.push(ask(&mut client, "k2"));
+    old.signal("-TERM");
+    // Within the second, whatever its place.
+    sleep(Duration::from_millis(1100));
+    seen.push(ask(&mut client, "k3"));
+    let mut other = held.connect();
+    seen.push(ask(&mut other, "k4"));
+    seen.push(format!("old: {}", old.child.wait().unwrap()));
+    seen.push(format!("{} {}", ask(&mut other, "k5"), new.call("GET", "/control/ready")));
+    expect![[r#"
+        200
+        200
+        200 and closes
+        200
+        old: exit status: 0
+        200 200"#]]
+    .assert_eq(&seen.join("\n"));
+}
+
+/// Calls that are none get their own no, and the silent ones make way.
+#[test]
+fn the_operators_door_says_no_to_what_is_no_call() {
+    let (_told, lines) = caches(&["amber"]);
+    let held = Held::new("door", &lines);
+    let process = held.start();
+    process.wait_ready();
+    let silent: Vec<TcpStream> = (0..20).map(|_| TcpStream::connect(process.console).unwrap()).collect();
+    let mut half = TcpStream::connect(process.console).unwrap();
+    half.write_all(b"GET /control/rea").unwrap();
+    let mut seen = Vec::new();
+    for (method, path) in [
+        ("GET", "/control/ready"),
+        ("POST", "/control/ready"),
+        ("GET", "/control"),
+        ("GET", "/"),
+        ("{}", "x"),
+    ] {
+        seen.push(process.call(method, path));
+    }
+    seen.push(format!(
+        "half a call: {}",
+        message(&mut half).map_or("closed".into(), |(head, _)| head[9..12].to_string())
+    ));
+    drop(silent);
+    expect!["200 405 404 404 400 half a call: 408"].assert_eq(&seen.join(" "));
+}
