Operators take caches out and back, and empty a proxy, over upgrades too

Bans are ids in the module (Router::bar, seen by `ready` alone), times of them in the core's members, so that a shot that waits for a connection is not written past the grace; out of service is a fact beside the phases (Life::put_out). Captures have the calls (Told::Barred).

--- a/crates/capture/src/record.rs
+++ b/crates/capture/src/record.rs
@@ -69,6 +69,12 @@
         words: Vec<u64>,
         texts: Vec<String>,
     },
+    /// Operators took a cache out or put it back.
+    Barred {
+        id: String,
+        out: bool,
+        at: Tenths,
+    },
 }
 
 /// What the module wanted done.
--- a/crates/capture/src/replay.rs
+++ b/crates/capture/src/replay.rs
@@ -244,6 +244,7 @@
             Lkp(*lkp).renewed(router, *ns, *expires, out);
         }
         Told::SharedBy(proxies) => router.shared_by(*proxies),
+        Told::Barred { id, out: barred, at } => router.bar(id, *barred, *at),
     }
     Some(())
 }
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -31,12 +31,20 @@
     Yes,
     /// Not now.
     No,
+    /// Nobody has that id.
+    Unknown,
+    /// It could not be kept, so it does not hold either.
+    NotKept,
 }
 
 /// What operators may do to a proxy. Each returns once it is in force.
 pub trait Controls {
     /// Whether this process is ready to serve.
     fn ready(&self) -> Done;
+    /// Leaves a cache out, or puts it back.
+    fn cache(&self, id: &str, out: bool) -> Done;
+    /// Empties the proxy, or ends that.
+    fn service(&self, out: bool) -> Done;
 }
 
 /// Callers whose call is not whole yet, the one that came first in front.
@@ -103,11 +111,33 @@
     Ok((message.word(&message.method).to_string(), message.word(&message.target).to_string()))
 }
 
+/// An id as it stands in a path: letters, digits and other plain signs, or %XX.
+fn id(part: &str) -> Option<String> {
+    let mut bytes = part.bytes();
+    let mut out = Vec::new();
+    while let Some(b) = bytes.next() {
+        out.push(match b {
+            b'%' => {
+                let hex = [bytes.next()?, bytes.next()?];
+                u8::from_str_radix(std::str::from_utf8(&hex).ok()?, 16).ok()?
+            }
+            b => b,
+        });
+    }
+    String::from_utf8(out).ok().filter(|id| !id.is_empty())
+}
+
 fn answer(controls: &dyn Controls, (method, target): &(String, String)) -> (u16, &'static str) {
     let path = target.split('?').next().unwrap_or("");
     let parts: Vec<&str> = path.strip_prefix("/control/").unwrap_or("").split('/').collect();
     let (wanted, call): (&str, Box<dyn Fn() -> Done>) = match parts[..] {
         ["ready"] => ("GET", Box::new(|| controls.ready())),
+        ["out-of-service"] => ("POST", Box::new(|| controls.service(true))),
+        ["in-service"] => ("POST", Box::new(|| controls.service(false))),
+        ["cache-nodes", part, word @ ("offline" | "online")] => {
+            let Some(id) = id(part) else { return (400, "an id that makes no sense\n") };
+            ("POST", Box::new(move || controls.cache(&id, word == "offline")))
+        }
         _ => return (404, "no such call\n"),
     };
     if method != wanted {
@@ -116,6 +146,8 @@
     match call() {
         Done::Yes => (200, "yes\n"),
         Done::No => (503, "no\n"),
+        Done::Unknown => (404, "nobody has that id\n"),
+        Done::NotKept => (500, "not done: it could not be kept\n"),
     }
 }
 
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -349,6 +349,19 @@
         self.members.off().collect()
     }
 
+    /// Operators take a cache out at that moment, or put it back; its place, if it has one.
+    pub fn barred(&mut self, now: Tenths, id: &str, (out, at): (bool, Tenths)) -> Option<Cache> {
+        let (router, desk) = self.at(now);
+        desk.told(|| Told::Barred { id: id.into(), out, at });
+        router.bar(id, out, at);
+        self.members.bar(id, out.then_some(at))
+    }
+
+    /// Whether operators may mean a cache by this.
+    pub fn has(&self, id: &str) -> bool {
+        self.router.has(id)
+    }
+
     /// The list can't be had; the router will want it again.
     pub fn list_lost(&mut self, now: Tenths) {
         let (router, desk) = self.at(now);
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -53,6 +53,12 @@
     off.into_iter().for_each(|cache| core.pool.forget(cache));
 }
 
+/// Operators take a cache out at that moment, or put it back. What is idle to it is closed: it restarts meanwhile.
+pub fn bar(core: &Rc<Core>, id: &str, out: bool, at: Tenths) {
+    let cache = tell(core, |book, now| book.barred(now, id, (out, at)));
+    cache.into_iter().for_each(|cache| core.pool.forget(cache));
+}
+
 /// A source can't have the list; the router will want it again.
 pub fn list_lost(core: &Rc<Core>) {
     tell(core, |book, now| book.list_lost(now));
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -41,17 +41,15 @@
 }
 
 impl Page {
-    /// Takes what another process says. Returns the caches of which something else holds now, and whether that is so of the
-    /// service.
+    /// Takes what another process says. Returns the caches of which it had a later word, and whether something else
+    /// holds of the service.
     pub fn merge(&mut self, other: &Page) -> (Vec<String>, bool) {
         let mut changed = Vec::new();
         for (id, word) in &other.caches {
             let own = self.caches.get(id).copied().unwrap_or_default();
             if word.at > own.at {
                 self.caches.insert(id.clone(), *word);
-                if word.out != own.out {
-                    changed.push(id.clone());
-                }
+                changed.push(id.clone());
             }
         }
         let was = self.service;
@@ -72,7 +70,12 @@
     }
 
     pub fn is_out(&self, cache: &str) -> bool {
-        self.caches.get(cache).is_some_and(|word| word.out)
+        self.word(cache).out
+    }
+
+    /// The last word on a cache.
+    pub fn word(&self, cache: &str) -> Word {
+        self.caches.get(cache).copied().unwrap_or_default()
     }
 
     /// Whether the other has taken over from this one.
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -206,6 +206,7 @@
     pub zone: usize,
     pub cell: u64,
     pub standing: Standing,
+    pub barred: bool, // by operators
     pub born: Tenths,
     pub out: u64,           // own shots in flight
     pub owes_since: Tenths, // last answer, or the first shot since nothing was out
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -8,7 +8,7 @@
 
 use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Lkp, Lookup, Shot};
 use crate::plain::{Standing, Tally, Tenths, mixed, point};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 const SECOND: Tenths = 10_000;
 const CACHE_TOKEN: u64 = 1 << 61; // wakes below this are lookups, from here on caches
@@ -79,6 +79,7 @@
     pub(crate) kept: [HashSet<u64>; 2], // keys resolved lately, and before that
     pub(crate) faded: Tenths,
     pub(crate) watch_fails: u32,
+    pub(crate) barred: BTreeSet<String>, // ids of caches that operators took out, listed or not
 }
 
 impl Router {
@@ -172,7 +173,9 @@
                 // Some of many proxies begin with a shot, by chance, or all would send theirs together.
                 c.credit = self.house.cold_floor() + self.chance.below(1000);
             }
-            (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born);
+            // Never back: one that operators put back has started since, though no list knows it yet.
+            (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born.max(c.born));
+            c.barred = self.barred.contains(e.id);
             if Some(e.kind) == self.house.origin_kind {
                 self.origin = Some(e.cache);
             }
@@ -180,6 +183,26 @@
         self.rings();
     }
 
+    /// Operators take a cache out at that moment, whatever any list says, or put it back. It is restarted in
+    /// between: back, it is as cold as one that started then, and what was held against it is void.
+    pub fn bar(&mut self, id: &str, out: bool, at: Tenths) {
+        _ = if out { self.barred.insert(id.to_string()) } else { self.barred.remove(id) };
+        let by_chance = self.house.cold_floor() + self.chance.below(1000);
+        if let Some(c) = self.caches.iter_mut().find(|c| c.id == id) {
+            c.barred = out;
+            if !out && at > c.born {
+                (c.born, c.credit, c.doubt, c.left, c.stay) = (at, by_chance, 0, false, 0);
+            }
+        }
+        self.rings();
+    }
+
+    /// Whether operators may mean this cache: it is listed, or was taken out. The origin is none.
+    pub fn has(&self, id: &str) -> bool {
+        let listed = |i: usize| Some(i) != self.origin && self.caches[i].standing != Standing::Gone;
+        self.barred.contains(id) || (0..self.caches.len()).any(|i| self.caches[i].id == id && listed(i))
+    }
+
     /// 128 points a cache, as the design has it, from the id alone: all proxies build one ring.
     pub(crate) fn rings(&mut self) {
         let mut rings = [Vec::new(), Vec::new(), Vec::new()];
@@ -225,7 +248,8 @@
     // ---- which cache ----
 
     fn ready(&self, cache: Cache) -> bool {
-        Some(cache) != self.origin && self.caches[cache].standing == Standing::Ready
+        let c = &self.caches[cache];
+        Some(cache) != self.origin && c.standing == Standing::Ready && !c.barred
     }
 
     /// What an answer seldom takes: three times what nine in ten stay under, as a few heavy lookups together
@@ -605,7 +629,7 @@
         if token >= CACHE_TOKEN {
             let cache = (token - CACHE_TOKEN) as Cache;
             return match self.caches.get(cache) {
-                Some(c) if c.standing == Standing::Ready && self.house.probes => out.probe(cache),
+                Some(_) if self.ready(cache) && self.house.probes => out.probe(cache),
                 _ => self.probed(cache, true, out),
             };
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -151,7 +151,7 @@
 fields! {
     Shot { cache, sent, company, out, may_have_run, bad, fresh }
     Known {
-        id, zone, cell, standing, born, out, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
+        id, zone, cell, standing, barred, born, out, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
         refusals, timely, room, credit,
     }
 }
@@ -237,6 +237,7 @@
         self.erred.put(&mut to);
         self.times.put(&mut to);
         self.fetches.put(&mut to);
+        self.barred.iter().cloned().collect::<Vec<String>>().put(&mut to);
         self.kept.put(&mut to);
         self.house.namespaces.iter().for_each(|rules| rules.purse.counts().put(&mut to));
         self.lookups.len().put(&mut to);
@@ -261,6 +262,7 @@
         r.erred = Part::get(from)?;
         r.times = Part::get(from)?;
         r.fetches = Part::get(from)?;
+        r.barred = Vec::<String>::get(from)?.into_iter().collect();
         r.kept = Part::get(from)?;
         for rules in &r.house.namespaces {
             rules.purse.count(Part::get(from)?);
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -880,3 +880,37 @@
     "#]]
     .assert_eq(&h.told());
 }
+
+/// One that operators take out is passed like one that is gone, by lookups, probes and as the last resort, whatever the list
+/// says; put back it is as cold as one that starts then, and is asked within seconds.
+#[test]
+fn a_cache_that_operators_take_out_gets_nothing_until_they_put_it_back_cold() {
+    let mut h = house(&[("proxies", "4")]);
+    h.pass(1_000_000);
+    h.ready(&FOUR);
+    let warm = of_birch(&mut h);
+    h.router.bar("birch", true, h.now);
+    h.router.bar("birch", true, h.now);
+    let barred = of_birch(&mut h);
+    h.ready(&["amber", "cedar", "delta"]);
+    h.ready(&FOUR);
+    let listed_again = of_birch(&mut h);
+    h.router.bar("birch", false, h.now);
+    h.ready(&FOUR);
+    let back = of_birch(&mut h);
+    h.pass(110_000);
+    let later = of_birch(&mut h);
+    expect!["53 warm, 0 barred, 0 listed again, 13 back, 53 later"].assert_eq(&format!(
+        "{warm} warm, {barred} barred, {listed_again} listed again, {back} back, {later} later"
+    ));
+    // All of them out: nothing is sent, and nobody meant by an id that none has.
+    FOUR.iter().for_each(|id| h.router.bar(id, true, h.now));
+    h.trace = Default::default();
+    h.ask(0, "book/1");
+    expect!["lookup 1000 deferred true false"].assert_eq(&format!(
+        "{} {} {}",
+        h.told().trim(),
+        h.router.has("birch"),
+        h.router.has("ember")
+    ));
+}
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -3,6 +3,8 @@
 use crate::pages::Pages;
 use chalkwalk_console::{self as console, Controls, Done};
 use chalkwalk_core::core::Core;
+use chalkwalk_core::flow;
+use chalkwalk_handover::{Page, Tenths};
 use slog::{info, warn};
 use smol::{Async, Timer};
 use std::cell::RefCell;
@@ -58,6 +60,14 @@
         if news.succeeded {
             core.life.succeed();
         }
+        for id in news.caches {
+            let word = self.pages.borrow().own.word(&id);
+            flow::bar(core, &id, word.out, word.at);
+        }
+        if news.service {
+            let service = self.pages.borrow().own.service;
+            core.life.put_out(service.out.then_some(service.at));
+        }
     }
 
     /// Whether the others can read what this one has to say.
@@ -70,10 +80,50 @@
     }
 }
 
+impl Operators {
+    /// Keeps what an operator says where the other processes find it; where that fails it is not said.
+    fn keep(&self, say: impl FnOnce(&mut Page, Tenths)) -> bool {
+        let before = self.pages.borrow().own.clone();
+        say(&mut self.pages.borrow_mut().own, self.core.clock.now());
+        let kept = self.write();
+        if !kept {
+            self.pages.borrow_mut().own = before;
+        }
+        kept
+    }
+}
+
 impl Controls for Operators {
     fn ready(&self) -> Done {
         // The old process is told to end as soon as this says yes, and has to know then who takes over.
         self.tell_ready();
         if self.core.life.serves() { Done::Yes } else { Done::No }
     }
+
+    fn cache(&self, id: &str, out: bool) -> Done {
+        if !self.core.book.borrow().has(id) {
+            return Done::Unknown;
+        }
+        if self.pages.borrow().own.is_out(id) != out {
+            if !self.keep(|own, now| own.say(id, out, now)) {
+                return Done::NotKept;
+            }
+            let word = self.pages.borrow().own.word(id);
+            flow::bar(&self.core, id, word.out, word.at);
+            info!(self.core.log, "{}", if out { "cache left out" } else { "cache put back" }; "cache" => id);
+        }
+        Done::Yes
+    }
+
+    fn service(&self, out: bool) -> Done {
+        if self.pages.borrow().own.service.out != out {
+            if !self.keep(|own, now| own.say_service(out, now)) {
+                return Done::NotKept;
+            }
+            let since = self.pages.borrow().own.service.at;
+            self.core.life.put_out(out.then_some(since));
+            info!(self.core.log, "{}", if out { "out of service" } else { "in service" });
+        }
+        Done::Yes
+    }
 }
--- a/crates/proxy/src/pages.rs
+++ b/crates/proxy/src/pages.rs
@@ -18,7 +18,7 @@
 /// What the others say.
 #[derive(Debug, Default)]
 pub struct News {
-    /// Caches of which something else holds now.
+    /// Caches of which there is a later word.
     pub caches: Vec<String>,
     pub service: bool,
     pub succeeded: bool,
--- a/crates/proxy/tests/operators.rs
+++ b/crates/proxy/tests/operators.rs
@@ -164,3 +164,57 @@
     drop(silent);
     expect!["200 405 404 404 400 half a call: 408"].assert_eq(&seen.join(" "));
 }
+
+/// Out of service the proxy says so, serves on the connections it has, closes them with their answers or idle, and is
+/// back at once. A cache out and the service out hold over an upgrade; ids that nobody has are no ids.
+#[test]
+fn a_drain_empties_the_proxy_and_what_operators_said_holds_over_an_upgrade() {
+    let (told, lines) = caches(&["amber", "birch"]);
+    let held = Held::new("drain", &lines);
+    let mut old = held.start();
+    old.wait_ready();
+    let mut seen = Vec::new();
+    let out =
+        ["ember", "birch", "birch"].map(|id| old.call("POST", &format!("/control/cache-nodes/{id}/offline")));
+    seen.push(format!("out {}", out.join(" ")));
+    let (mut busy, mut idle) = (held.connect(), held.connect());
+    seen.push(format!("{} {}", ask(&mut busy, "a1"), ask(&mut idle, "a2")));
+    seen.push(format!("up {}", up(&held)));
+    seen.push(old.call("POST", "/control/out-of-service"));
+    seen.push(format!("up {}", up(&held)));
+    sleep(Duration::from_millis(1050));
+    seen.push(ask(&mut busy, "a3"));
+    seen.push(format!("idle: {}", message(&mut idle).map_or("closed", |_| "an answer")));
+    let new = held.start();
+    new.wait_ready();
+    old.signal("-TERM");
+    seen.push(format!("old: {}, up {}", old.child.wait().unwrap(), up(&held)));
+    seen.push(format!("{} up {}", new.call("POST", "/control/in-service"), up(&held)));
+    let mut client = held.connect();
+    (0..30).for_each(|i| _ = ask(&mut client, &format!("b{i}")));
+    let of = |name: &str| told.0.lock().unwrap().iter().filter(|l| l.starts_with(name)).count();
+    seen.push(format!("to birch: {}", of("birch")));
+    seen.push(new.call("POST", "/control/cache-nodes/birch/online"));
+    (0..30).for_each(|i| _ = ask(&mut client, &format!("c{i}")));
+    seen.push(format!("back: {}", of("birch") > 0));
+    expect![[r#"
+        out 404 200 200
+        200 200
+        up 200
+        200
+        up 503
+        200 and closes
+        idle: closed
+        old: exit status: 0, up 503
+        200 up 200
+        to birch: 0
+        200
+        back: true"#]]
+    .assert_eq(&seen.join("\n"));
+}
+
+fn up(held: &Held) -> String {
+    let mut stream = held.connect();
+    stream.write_all(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
+    message(&mut stream).map_or("none".into(), |(head, _)| head[9..12].to_string())
+}
