Long answers flow in parts, long bodies are taken while there is room

The proxy's log and a line for each message turned down told why: answers beyond 1 MiB were no answers to http1::head, so shots failed; bodies beyond 64 KiB got 413; and 408 came where a head took 2 s, as clients::serve counted the time since the accept against a lookup whose first bytes were there at the accept. Slow caches and refusals by the module were ruled out by that count (27 of 27 losses at the door, and no 'cache left'). Answers beyond 64 KiB go on from their first bytes (Answering, Flow), with the module's answer_begun; bodies are decoded by one machine (http1::Body) in place of the parse from the start at each read. Tests: large (proxy), body (http1: cut at every byte, any chunks in any pieces).

--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -181,9 +181,9 @@
                 }
             }
             "ACCEPTED" => {
-                whole(event, "trial")?;
+                let shot = whole(event, "trial")?;
                 if let Some((_, lkp)) = lkp {
-                    lkp.answer_begun(router);
+                    lkp.answer_begun(router, shot as usize, pen);
                 }
             }
             "CANCELLED_BY_CLIENT" => {
--- a/crates/capture/src/record.rs
+++ b/crates/capture/src/record.rs
@@ -75,6 +75,11 @@
         out: bool,
         at: Tenths,
     },
+    /// A shot's answer has begun, and is the client's.
+    Begun {
+        lkp: u64,
+        shot: usize,
+    },
 }
 
 /// What the module wanted done.
@@ -94,7 +99,10 @@
     /// The lookup that it is about.
     pub fn lkp(&self) -> Option<u64> {
         match self {
-            Told::Ended { lkp, .. } | Told::Left(lkp) | Told::Renewed { lkp, .. } => Some(*lkp),
+            Told::Ended { lkp, .. }
+            | Told::Begun { lkp, .. }
+            | Told::Left(lkp)
+            | Told::Renewed { lkp, .. } => Some(*lkp),
             _ => None,
         }
     }
--- a/crates/capture/src/replay.rs
+++ b/crates/capture/src/replay.rs
@@ -245,6 +245,7 @@
         }
         Told::SharedBy(proxies) => router.shared_by(*proxies),
         Told::Barred { id, out: barred, at } => router.bar(id, *barred, *at),
+        Told::Begun { lkp, shot } => Lkp(*lkp).answer_begun(router, *shot, out),
     }
     Some(())
 }
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -5,7 +5,7 @@
 //! of a lookup's.
 
 use chalkwalk_http1 as http1;
-use chalkwalk_net::{more, within, write_all};
+use chalkwalk_net::{Room, more, wait_until, within, write_all};
 use smol::channel::{Sender, bounded};
 use smol::future::FutureExt;
 use smol::{Async, Timer};
@@ -15,7 +15,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How many callers are heard at once; one more, and whoever has been silent longest makes way. Staff and their tools make
 /// a few calls a second, each over within milliseconds.
@@ -107,7 +107,11 @@
 /// The method and path of a call, or the status that says what is wrong with it.
 async fn heard(stream: &Async<TcpStream>) -> Result<(String, String), u16> {
     let mut rest = Vec::new();
-    let message = within(SLOWEST, http1::question(stream, &mut rest)).await.unwrap_or(Err(408))?;
+    let end = Instant::now() + SLOWEST;
+    // A call has no body to speak of.
+    let (longest, room) = (1024, Room::new(0));
+    let taking = http1::Taking { head_by: end, longest, room: &room };
+    let message = wait_until(end, http1::question(stream, &mut rest, taking)).await.unwrap_or(Err(408))?;
     Ok((message.word(&message.method).to_string(), message.word(&message.target).to_string()))
 }
 
--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -4,9 +4,12 @@
 use chalkwalk_net::Held;
 use chalkwalk_policy::{Ending, Tenths};
 use smol::Async;
+use smol::channel::Receiver;
+use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
+use std::rc::Rc;
 
 /// How a lookup ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,11 +28,22 @@
     pub body: Vec<u8>,
     /// Its part of the room for long answers.
     pub held: Option<Held>,
+    /// What comes after the body that is here, where it is longer than is read whole.
+    pub flow: Option<Flow>,
+}
+
+/// The rest of an answer, part by part as a cache gives it. One part waits at most: who takes it slowly slows the cache.
+pub struct Flow {
+    /// Of the whole body in bytes, where it is told.
+    pub length: Option<u64>,
+    pub parts: Receiver<Vec<u8>>,
+    /// Once there are no more parts: whether the answer is whole, or has broken off.
+    pub whole: Rc<Cell<bool>>,
 }
 
 impl Answer {
     pub fn bare(verdict: Verdict) -> Answer {
-        Answer { verdict, kind: String::new(), body: Vec::new(), held: None }
+        Answer { verdict, kind: String::new(), body: Vec::new(), held: None, flow: None }
     }
 }
 
@@ -40,6 +54,18 @@
     pub answer: Option<Answer>,
     /// Whether the connection may carry another shot.
     pub keep: bool,
+    /// What of the answer is still to come on the connection, where the lookup is resolved before that.
+    pub rest: Option<Box<dyn Rest>>,
+}
+
+/// What of an answer is still to come.
+pub trait Rest {
+    /// The next part, `None` at the end; an error if it breaks off.
+    fn part<'a>(&'a mut self, stream: &'a Async<TcpStream>) -> Wait<'a, Result<Option<Vec<u8>>, ()>>;
+    /// Of the whole body in bytes, where it is told.
+    fn length(&self) -> Option<u64>;
+    /// Whether the connection may carry another shot after it.
+    fn keeps(&self) -> bool;
 }
 
 pub type Wait<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -274,6 +274,14 @@
         desk.tidy(lkp);
     }
 
+    /// A shot's answer has begun, and the lookup is resolved by it; the shot goes on until the answer has ended.
+    pub fn begun(&mut self, now: Tenths, (lkp, shot): (Lkp, usize), answer: Answer) {
+        let (router, desk) = self.at(now);
+        desk.finish(lkp, answer);
+        desk.told(|| Told::Begun { lkp: lkp.0, shot });
+        lkp.answer_begun(router, shot, desk);
+    }
+
     pub fn client_left(&mut self, now: Tenths, lkp: Lkp) {
         let (router, desk) = self.at(now);
         if let Some(open) = desk.open.get_mut(&lkp) {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -51,8 +51,9 @@
         Rc::new(Core {
             clock,
             budget: Budget::new(rules.descriptors),
-            // A quarter of the memory: the rest of the proxy needs a few megabytes.
-            room: Room::new(rules.memory / 4),
+            // A third of the memory: the rest of the proxy needs a few megabytes, and as much again is the system's for
+            // what is on its way.
+            room: Room::new(rules.memory / 3),
             life: Life::default(),
             book: RefCell::new(book),
             pool: Pool::new(rules.idle_time),
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -1,18 +1,20 @@
 //! The way of a lookup through the core: taken, sent in shots, ended; and the calls that sources of the list make.
 
-use crate::answer::{Answer, Ask, Heard};
-use crate::book::{Book, Note, Shooting};
+use crate::answer::{Answer, Ask, Flow, Heard, Rest};
+use crate::book::{Book, Note, Shaft, Shooting};
 use crate::core::Core;
 use crate::members::Line;
 use crate::pool::{Conn, SPARE};
 use chalkwalk_limits::Table;
 use chalkwalk_net::{wait_until, within};
 use chalkwalk_policy::{Cache, Ending, Lkp, Tenths};
-use smol::channel::Receiver;
+use smol::channel::{Receiver, Sender, bounded};
 use smol::future::FutureExt;
 use smol::{Async, Timer};
+use std::cell::Cell;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// One call to the book at the present time; what the router wants then is taken up.
 fn tell<T>(core: &Rc<Core>, call: impl FnOnce(&mut Book, Tenths) -> T) -> T {
@@ -106,46 +108,106 @@
 
 // ---- one shot, from the connection to its ending ----
 
+/// How a shot came out, or how far it has come.
+enum Came {
+    Ended(Ending, Option<Answer>),
+    /// The answer has begun, and goes on.
+    Begun(Ending, Answer, Rc<Conn>, Box<dyn Rest>),
+}
+
+/// A flow that nothing more comes of for so long, or that nobody takes more of, is broken off. The time limit is over by
+/// then, and a cache that is slow on purpose writes something each second.
+const SILENCE: Duration = Duration::from_secs(10);
+
 async fn send(core: Rc<Core>, shooting: Shooting) {
     let begun = core.clock.now();
     let Shooting { lkp, shot, cache, until, shaft, .. } = &shooting;
     // Not one byte short of whole has run.
-    let cut = |ending| (if shaft.written.get() { ending } else { Ending::Unsent }, None);
+    let cut = |ending| Came::Ended(if shaft.written.get() { ending } else { Ending::Unsent }, None);
     let stopped = async {
         _ = shaft.stopped.recv().await;
         cut(Ending::Withdrawn)
     };
     let shot_through = stopped.or(shoot(&core, &shooting));
     let end = core.clock.instant(*until);
-    let (ending, answer) = wait_until(end, shot_through).await.unwrap_or_else(|| cut(Ending::TimedOut));
+    let came = wait_until(end, shot_through).await.unwrap_or_else(|| cut(Ending::TimedOut));
+    let took = core.clock.now() - begun;
+    let (ending, answer) = match came {
+        Came::Ended(ending, answer) => (ending, answer),
+        Came::Begun(ending, mut answer, conn, rest) => {
+            let (tell_parts, parts) = bounded(1);
+            let whole = Rc::new(Cell::new(false));
+            answer.flow = Some(Flow { length: rest.length(), parts, whole: whole.clone() });
+            tell(&core, |book, now| book.begun(now, (*lkp, *shot), answer));
+            let stopped = async {
+                _ = shaft.stopped.recv().await;
+                Ending::Withdrawn
+            };
+            let ending =
+                stopped.or(pump(&core, (*cache, conn), rest, tell_parts, (shaft, ending, whole))).await;
+            (ending, None)
+        }
+    };
     // The connection is closed, unless it is back in the pool, before the router hears of the ending.
     shaft.hold(None);
     if ending == Ending::Unreachable {
         core.pool.forget(*cache);
     }
-    let took = core.clock.now() - begun;
     tell(&core, |book, now| book.ended(now, (*lkp, *shot), ending, took, answer));
 }
 
-async fn shoot(core: &Core, shooting: &Shooting) -> (Ending, Option<Answer>) {
+/// Passes on what comes of an answer, until it ends, breaks off, or is taken no more.
+async fn pump(
+    core: &Core,
+    (cache, conn): (Cache, Rc<Conn>),
+    mut rest: Box<dyn Rest>,
+    parts: Sender<Vec<u8>>,
+    (shaft, ending, whole): (&Shaft, Ending, Rc<Cell<bool>>),
+) -> Ending {
+    loop {
+        match within(SILENCE, rest.part(&conn.stream)).await {
+            Some(Ok(Some(part))) => match within(SILENCE, parts.send(part)).await {
+                Some(Ok(())) => {}
+                _ => return Ending::Withdrawn,
+            },
+            Some(Ok(None)) => {
+                whole.set(true);
+                shaft.hold(None);
+                if rest.keeps()
+                    && let Ok(conn) = Rc::try_unwrap(conn)
+                {
+                    core.pool.put(cache, conn);
+                }
+                return ending;
+            }
+            _ => return Ending::Broken,
+        }
+    }
+}
+
+async fn shoot(core: &Core, shooting: &Shooting) -> Came {
     let Shooting { cache, until, by, ask, shaft, .. } = shooting;
     if core.clock.now() >= *until {
-        return (Ending::Unsent, None);
+        return Came::Ended(Ending::Unsent, None);
     }
     let end = core.clock.instant(*by.min(until));
     let conn = match wait_until(end, write(core, shooting)).await {
         Some(Ok(conn)) => conn,
-        Some(Err(ending)) => return (ending, None),
-        None => return (Ending::Unsent, None),
+        Some(Err(ending)) => return Came::Ended(ending, None),
+        None => return Came::Ended(Ending::Unsent, None),
+    };
+    let Some(Heard { ending, answer, keep, rest }) = ask.hear(&conn.stream).await else {
+        return Came::Ended(Ending::Broken, None);
     };
-    let Some(Heard { ending, answer, keep }) = ask.hear(&conn.stream).await else {
-        return (Ending::Broken, None);
+    let answer = match (rest, answer) {
+        (Some(rest), Some(answer)) => return Came::Begun(ending, answer, conn, rest),
+        (_, answer) => answer,
     };
     shaft.hold(None);
     if keep && let Ok(conn) = Rc::try_unwrap(conn) {
         core.pool.put(*cache, conn);
     }
-    (ending, answer)
+    Came::Ended(ending, answer)
 }
 
 /// Writes the lookup to a connection; not one is written of which a part may come too late.
--- a/crates/http-door/src/caches.rs
+++ b/crates/http-door/src/caches.rs
@@ -1,13 +1,14 @@
 //! The side of the caches: a lookup written on as it came, what an answer says of the shot, and probes.
 
 use crate::admit::Lookup;
-use chalkwalk_core::answer::{Answer, Ask, Heard, Probe, Verdict, Wait};
-use chalkwalk_http1::{self as http1, Message};
-use chalkwalk_net::write_all;
+use chalkwalk_core::answer::{Answer, Ask, Heard, Probe, Rest, Verdict, Wait};
+use chalkwalk_http1::{self as http1, Answering};
+use chalkwalk_net::{Held, Room, wait_until, write_all};
 use chalkwalk_policy::{Ending, Tenths};
 use smol::Async;
 use std::io;
 use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 /// Seconds with decimals, as the protocol writes times.
 pub(crate) fn seconds(tenths: Tenths) -> String {
@@ -60,15 +61,21 @@
 
     fn hear<'a>(&'a self, stream: &'a Async<TcpStream>) -> Wait<'a, Option<Heard>> {
         Box::pin(async move {
-            let room = &self.door.core.room;
-            let message = http1::answer(stream, http1::LONGEST_BODY, Some(room)).await.ok()?;
-            Some(read(message))
+            let answering = Answering::begin(stream).await.ok()?;
+            read(answering, stream, &self.door.core.room).await
         })
     }
 }
 
-/// What a cache's answer says of the shot.
-fn read(message: Message) -> Heard {
+/// What is read at once of a long answer, in bytes, and of how many such parts a flow holds at most: read, waiting, written.
+const PART: (usize, usize) = (16 << 10, 3);
+/// An answer of unknown length is waited for so long before it flows: short beside a target time, and most are whole by then.
+const LENGTH_SHOWS: Duration = Duration::from_millis(50);
+
+/// What a cache's answer says of the shot. One of up to 64 KiB is read whole, so that one that breaks off can be asked for
+/// elsewhere; a longer one is passed on from its first bytes on.
+async fn read(mut answering: Answering, stream: &Async<TcpStream>, room: &Room) -> Option<Heard> {
+    let message = &answering.message;
     let turned_away = message.field("X-Unprocessed").is_some_and(|v| v == "1");
     let ending = match message.status {
         200 => match message.field("X-Lookup") {
@@ -82,15 +89,71 @@
         400..=499 => Ending::Wrong,
         _ => Ending::Error,
     };
-    let keep = !message.close;
-    if message.status != 200 {
-        return Heard { ending, answer: None, keep };
-    }
-    let kind = message.field("Content-Type").unwrap_or("").to_string();
-    let Message { mut buf, body, held, .. } = message;
-    buf.truncate(body.end);
-    buf.drain(..body.start);
-    Heard { ending, answer: Some(Answer { verdict: Verdict::Resolved, kind, body: buf, held }), keep }
+    let resolved = message.status == 200;
+    let long = |n: usize| n > http1::LONGEST_BODY;
+    let told = answering.length.map(|n| long(n as usize));
+    // Longer than any is nonsense, and so is a long word on a failure.
+    if answering.length > Some(http1::LONGEST_OF_ALL as u64) || (told == Some(true) && !resolved) {
+        return None;
+    }
+    let shows = Instant::now() + LENGTH_SHOWS;
+    let mut body = Vec::new();
+    let mut whole = false;
+    // Nothing of it is the client's before its first byte is here.
+    while !whole && (told != Some(true) || body.is_empty()) {
+        let part = answering.part(stream);
+        let part = match told {
+            Some(_) => part.await,
+            None if resolved && !body.is_empty() => match wait_until(shows, part).await {
+                Some(part) => part,
+                None => break,
+            },
+            None => part.await,
+        };
+        match part.ok()? {
+            Some(part) => body.extend(part),
+            None => whole = true,
+        }
+        if long(body.len()) {
+            if !resolved {
+                return None;
+            }
+            break;
+        }
+    }
+    let keep = answering.keeps();
+    if !resolved {
+        return Some(Heard { ending, answer: None, keep, rest: None });
+    }
+    let kind = answering.message.field("Content-Type").unwrap_or("").to_string();
+    let answer = Some(Answer { kind, body, ..Answer::bare(Verdict::Resolved) });
+    if whole {
+        return Some(Heard { ending, answer, keep, rest: None });
+    }
+    let held = room.take(PART.0 * PART.1, usize::MAX);
+    if held.is_some() {
+        answering.most = PART.0;
+    }
+    let rest: Box<dyn Rest> = Box::new(Flowing { answering, _held: held });
+    Some(Heard { ending, answer, keep, rest: Some(rest) })
+}
+
+/// The rest of a long answer, with its part of the room for them; without one it is read in smaller parts.
+struct Flowing {
+    answering: Answering,
+    _held: Option<Held>,
+}
+
+impl Rest for Flowing {
+    fn part<'a>(&'a mut self, stream: &'a Async<TcpStream>) -> Wait<'a, Result<Option<Vec<u8>>, ()>> {
+        Box::pin(async move { self.answering.part(stream).await.map_err(|_| ()) })
+    }
+    fn length(&self) -> Option<u64> {
+        self.answering.length
+    }
+    fn keeps(&self) -> bool {
+        self.answering.keeps()
+    }
 }
 
 /// The platform's probe: `GET /alive`.
--- a/crates/http-door/src/clients.rs
+++ b/crates/http-door/src/clients.rs
@@ -21,6 +21,9 @@
 /// After an accept that failed, as it does when no descriptor is left: short beside any time limit.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
+/// What was there whole is read in a few turns of the executor.
+const READ_AT_ONCE: Tenths = 100;
+
 /// Takes connections until the proxy empties; whoever has one by then is let in.
 pub async fn accept(door: Rc<Door>, listener: Async<TcpListener>) {
     let core = &door.core;
@@ -85,21 +88,23 @@
     let core = &door.core;
     let mut rest = Vec::new();
     let mut opened = Some(Instant::now());
-    // What is there already may have waited for as long as the connection did: that much less time is left to it.
-    let mut waited = !quiet(&stream);
+    // What is there already may have waited for as long as the connection did: that much less time is left to it. It is
+    // whole then, and what is still on its way has not waited.
+    let (mut waited, welcomed) = (!quiet(&stream), core.clock.now());
     loop {
         let message = match take_in(&open, &stream, &mut rest, opened.take()).await {
             Ok(Some(message)) => message,
             Ok(None) => return,
             Err(status) => return relay::turn_down(&stream, Reply::bare(status)).await,
         };
-        let came = if std::mem::take(&mut waited) { clear } else { core.clock.came_after() };
+        let waited = std::mem::take(&mut waited) && core.clock.now() < welcomed + READ_AT_ONCE;
+        let came = if waited { clear } else { core.clock.came_after() };
         if !taken && let Some(place) = core.budget.make_place().await {
             // It came while all others were busy; by now one is not.
             _ = std::mem::replace(&mut permit, place);
             taken = true;
         }
-        let close = message.close || !taken;
+        let (close, old) = (message.close || !taken, message.old);
         let answer = match admit(&door, message, came) {
             // More at once than one lookup: none of it is taken.
             _ if !rest.is_empty() => Reply::bare(400),
@@ -114,8 +119,7 @@
             return relay::turn_down(&stream, answer).await;
         }
         let close = close || open.turn_is_over();
-        relay::relay(&stream, answer, close).await;
-        if close {
+        if !relay::relay(&stream, answer, close, old).await {
             return;
         }
     }
--- a/crates/http-door/src/relay.rs
+++ b/crates/http-door/src/relay.rs
@@ -1,7 +1,7 @@
 //! Stage "relay": the final answer, written to the client.
 
 use crate::caches::seconds;
-use chalkwalk_core::answer::{Answer, Verdict};
+use chalkwalk_core::answer::{Answer, Flow, Verdict};
 use chalkwalk_net::{Held, more, within, write_all};
 use chalkwalk_policy::Tenths;
 use smol::Async;
@@ -15,11 +15,12 @@
     kind: String,
     body: Vec<u8>,
     _held: Option<Held>,
+    flow: Option<Box<Flow>>,
 }
 
 impl Reply {
     pub fn bare(status: u16) -> Reply {
-        Reply { status, back_in: None, kind: String::new(), body: Vec::new(), _held: None }
+        Reply { status, back_in: None, kind: String::new(), body: Vec::new(), _held: None, flow: None }
     }
 }
 
@@ -30,11 +31,19 @@
             Verdict::Deferred(back_in) => (503, back_in),
             Verdict::Abandoned => (500, None),
         };
-        Reply { status, back_in, kind: answer.kind, body: answer.body, _held: answer.held }
+        Reply {
+            status,
+            back_in,
+            kind: answer.kind,
+            body: answer.body,
+            _held: answer.held,
+            flow: answer.flow.map(Box::new),
+        }
     }
 }
 
-/// A client that takes no more for so long has gone: a body fits into what the system buffers.
+/// A client that takes no more for so long has gone: a short body fits into what the system buffers, and of a long one a
+/// client that reads 64 kB a second takes several parts.
 const SLOWEST: Duration = Duration::from_secs(2);
 
 fn reason(status: u16) -> &'static str {
@@ -52,25 +61,75 @@
     }
 }
 
-pub async fn relay(stream: &Async<TcpStream>, answer: Reply, close: bool) {
-    let mut head = format!(
-        "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n",
-        answer.status,
-        reason(answer.status),
-        answer.body.len()
-    );
+fn head(answer: &Reply, length: Option<u64>, close: bool) -> String {
+    let mut head = format!("HTTP/1.1 {} {}\r\n", answer.status, reason(answer.status));
+    if let Some(length) = length {
+        head += &format!("Content-Length: {length}\r\n");
+    }
     if !answer.kind.is_empty() {
         head += &format!("Content-Type: {}\r\n", answer.kind);
     }
     if let Some(back_in) = answer.back_in {
         head += &format!("Retry-After: {}\r\n", seconds(back_in));
     }
-    head += if close { "Connection: close\r\n\r\n" } else { "\r\n" };
+    if close {
+        head += "Connection: close\r\n";
+    }
+    head
+}
+
+/// Writes the answer. `close`: the connection ends with it; `old`: the client knows no chunks. Returns whether the connection
+/// may carry another.
+pub async fn relay(stream: &Async<TcpStream>, mut answer: Reply, close: bool, old: bool) -> bool {
+    if let Some(flow) = answer.flow.take() {
+        let open_ended = flow.length.is_none() && old;
+        let whole = relay_flow(stream, &answer, *flow, close || open_ended, open_ended).await;
+        if whole.is_none() && open_ended {
+            // Ended in order it would look whole.
+            _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+            return false;
+        }
+        if whole.is_some() && !close && !open_ended {
+            return true;
+        }
+        _ = stream.get_ref().shutdown(Shutdown::Write);
+        return false;
+    }
+    let head = head(&answer, Some(answer.body.len() as u64), close) + "\r\n";
     let parts = [head.as_bytes(), &answer.body];
     let written = within(SLOWEST, write_all(stream, &parts)).await;
-    if !matches!(written, Some(Ok(()))) || close {
+    let keep = matches!(written, Some(Ok(()))) && !close;
+    if !keep {
         _ = stream.get_ref().shutdown(Shutdown::Write);
     }
+    keep
+}
+
+/// A long answer, part by part; `None` if it broke off, here or at the cache.
+async fn relay_flow(
+    stream: &Async<TcpStream>,
+    answer: &Reply,
+    flow: Flow,
+    close: bool,
+    open_ended: bool,
+) -> Option<()> {
+    let chunked = flow.length.is_none() && !open_ended;
+    let mut head = head(answer, flow.length, close);
+    head += if chunked { "Transfer-Encoding: chunked\r\n\r\n" } else { "\r\n" };
+    let write = async |before: &str, part: &[u8]| {
+        let size = if chunked && !part.is_empty() { format!("{:x}\r\n", part.len()) } else { String::new() };
+        let end: &[u8] = if size.is_empty() { b"" } else { b"\r\n" };
+        let parts = [before.as_bytes(), size.as_bytes(), part, end];
+        within(SLOWEST, write_all(stream, &parts)).await?.ok()
+    };
+    write(&head, &answer.body).await?;
+    while let Ok(part) = flow.parts.recv().await {
+        write("", &part).await?;
+    }
+    if !flow.whole.get() {
+        return None;
+    }
+    if chunked { write("0\r\n\r\n", b"").await } else { Some(()) }
 }
 
 /// How long, and how much, what a client still sends is read and dropped: closed at once, the connection would
@@ -79,7 +138,7 @@
 
 /// The answer to what is wrong, and the connection's end.
 pub async fn turn_down(stream: &Async<TcpStream>, answer: Reply) {
-    relay(stream, answer, true).await;
+    relay(stream, answer, true, false).await;
     linger(stream).await;
 }
 
--- a/crates/http-door/src/take_in.rs
+++ b/crates/http-door/src/take_in.rs
@@ -1,7 +1,7 @@
 //! Stage "take in": a message read whole off a client's connection, or the connection's end.
 
 use chalkwalk_core::core::Counted;
-use chalkwalk_http1::{self as http1, Fault, Message};
+use chalkwalk_http1::{self as http1, Fault, Message, Taking};
 use chalkwalk_net::{more, quiet, wait_until, within};
 use smol::Async;
 use smol::channel::bounded;
@@ -11,8 +11,8 @@
 
 /// A connection that says nothing for so long after an answer is closed: longer than clients commonly pause.
 const IDLE: Duration = Duration::from_secs(30);
-/// From its first byte to its last, for head and body, and for the first from the accept on: a client that sends
-/// nonsense or nothing is to be rid of within 3 s, and one that sends a whole message in pieces is far below.
+/// For a head from its first byte on, and for the first byte from the accept on: a client that sends nonsense or nothing is
+/// to be rid of within 3 s, and one that is slow may take 2 s.
 const SLOWEST: Duration = Duration::from_millis(2500);
 
 /// A connection without its first message yet is not idle: closed, its lookup is lost, as clients send again only
@@ -29,8 +29,10 @@
     if !begins(open, stream, rest, opened).await {
         return Ok(None);
     }
-    let end = opened.unwrap_or_else(Instant::now) + SLOWEST;
-    wait_until(end, http1::question(stream, rest)).await.unwrap_or(Err(408)).map(Some)
+    let core = &open.core;
+    let longest = core.rules.account.longest_body as usize;
+    let taking = Taking { head_by: Instant::now() + SLOWEST, longest, room: &core.room };
+    http1::question(stream, rest, taking).await.map(Some)
 }
 
 /// Waits for the first byte of a message; false if the connection is to be closed.
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -1,24 +1,29 @@
 //! HTTP/1.1 framing, once for all peers: heads parsed in place, gathered writes, lengths and chunks (RFC 9112). It may use
 //! the sockets of `net`; what a message means never enters it.
 
-use chalkwalk_net::{Held, Room, more, write_all};
-use smol::Async;
+mod body;
+
+pub use body::{Answering, Body};
+
+use chalkwalk_net::{Held, Room, more, more_of, wait_until, within, write_all};
+use smol::{Async, Timer};
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
+use std::time::{Duration, Instant};
 
 /// The longest head: twice what common servers take by default is no use to anyone on this protocol.
 pub const LONGEST_HEAD: usize = 16 << 10;
-/// The longest body, as the protocol has it.
+/// The longest body that is ordinary, as the platform's protocol has it: read whole without further ado.
 pub const LONGEST_BODY: usize = 64 << 10;
-/// The longest answer of a cache that is still taken where there is room for it: values are seen to be longer than
-/// the protocol has them, up to some hundred kilobytes.
-const LONGEST_VALUE: usize = 1 << 20;
-
+/// The longest of all.
+pub const LONGEST_OF_ALL: usize = 32 << 20;
+/// What is read at once of a body, in bytes.
+const MOST_READ: usize = 16 << 10;
 /// What is wrong with a message: the status that says so.
 pub type Fault = u16;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Form {
+pub(crate) enum Form {
     Length(usize),
     Chunked,
     ToTheEnd,
@@ -33,7 +38,10 @@
     pub status: u16,
     pub body: Range<usize>,
     pub close: bool,
-    pub held: Option<Held>,
+    /// Of HTTP/1.0, which knows no chunks.
+    pub old: bool,
+    /// Its part of the room for long bodies.
+    pub held: Vec<Held>,
     fields: Vec<(Range<usize>, Range<usize>)>,
 }
 
@@ -67,25 +75,25 @@
 }
 
 /// Where a part of the buffer stands in it. An empty one may have come from anywhere.
-fn within(buf: &[u8], part: &[u8]) -> Range<usize> {
+fn place_of(buf: &[u8], part: &[u8]) -> Range<usize> {
     let start = (part.as_ptr() as usize).wrapping_sub(buf.as_ptr() as usize);
     if part.is_empty() { 0..0 } else { start..start + part.len() }
 }
 
-struct Head {
-    message: Message,
-    len: usize,
-    form: Form,
-    interim: bool,
+pub(crate) struct Head {
+    pub message: Message,
+    pub len: usize,
+    pub form: Form,
+    pub interim: bool,
     waits: bool,
 }
 
 fn fields_of(buf: &[u8], headers: &[httparse::Header]) -> Vec<(Range<usize>, Range<usize>)> {
-    headers.iter().map(|h| (within(buf, h.name.as_bytes()), within(buf, h.value))).collect()
+    headers.iter().map(|h| (place_of(buf, h.name.as_bytes()), place_of(buf, h.value))).collect()
 }
 
 /// A head at the start of the buffer, or `None` while it is not whole.
-fn head(buf: &[u8], question: bool, longest: usize, room: Option<&Room>) -> Result<Option<Head>, Fault> {
+pub(crate) fn head(buf: &[u8], question: bool, longest: usize) -> Result<Option<Head>, Fault> {
     let mut lines = [httparse::EMPTY_HEADER; 64];
     let mut message = Message::default();
     let (len, minor);
@@ -97,8 +105,8 @@
             Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => return Err(431),
             Err(_) => return Err(400),
         }
-        message.method = within(buf, parsed.method.unwrap_or("").as_bytes());
-        message.target = within(buf, parsed.path.unwrap_or("").as_bytes());
+        message.method = place_of(buf, parsed.method.unwrap_or("").as_bytes());
+        message.target = place_of(buf, parsed.path.unwrap_or("").as_bytes());
         message.fields = fields_of(buf, parsed.headers);
         minor = parsed.version.unwrap_or(0);
     } else {
@@ -120,7 +128,7 @@
         (part(n), part(v))
     };
     let (mut lengths, mut chunked, mut waits) = (Vec::new(), false, false);
-    message.close = minor == 0;
+    (message.close, message.old) = (minor == 0, minor == 0);
     for (name, value) in message.fields.iter().map(said) {
         match name.as_str() {
             "content-length" if value.bytes().all(|b| b.is_ascii_digit()) => {
@@ -143,12 +151,8 @@
     let form = match lengths.first() {
         _ if empty => Form::Length(0),
         _ if chunked => Form::Chunked,
-        Some(n) => {
-            if *n > longest {
-                message.held = Some(room.and_then(|room| room.take(*n, LONGEST_VALUE)).ok_or(413u16)?);
-            }
-            Form::Length(*n)
-        }
+        Some(n) if *n > longest => return Err(413),
+        Some(n) => Form::Length(*n),
         None if question => Form::Length(0),
         // Cut short it would look whole: taken only from a side that says it closes.
         None if !message.close => return Err(502),
@@ -157,112 +161,136 @@
     Ok(Some(Head { message, len, form, interim, waits }))
 }
 
-/// The chunks from `at`: where each stands and where the body ends, or `None` while it is not whole.
-type Chunks = (Vec<Range<usize>>, usize);
-fn chunks(buf: &[u8], mut at: usize, longest: usize) -> Result<Option<Chunks>, Fault> {
-    let (mut found, mut sum) = (Vec::new(), 0usize);
+/// A head, past interim ones.
+async fn head_of(
+    stream: &Async<TcpStream>,
+    rest: &mut Vec<u8>,
+    question: bool,
+    longest: usize,
+) -> Result<Head, Fault> {
     loop {
-        let (used, size) = match httparse::parse_chunk_size(&buf[at..]) {
-            Ok(httparse::Status::Complete(it)) => it,
-            Ok(httparse::Status::Partial) if buf.len() - at < 1024 => return Ok(None),
-            _ => return Err(400),
-        };
-        let size = usize::try_from(size).map_err(|_| 413u16)?;
-        sum = sum.saturating_add(size);
-        if sum > longest {
-            return Err(413);
-        }
-        at += used;
-        if size == 0 {
-            break;
-        }
-        let end = at + size;
-        match buf.get(end..end + 2) {
-            None => return Ok(None),
-            Some(b"\r\n") => found.push(at..end),
-            Some(_) => return Err(400),
+        if let Some(head) = head(rest, question, longest)? {
+            if !head.interim {
+                return Ok(head);
+            }
+            rest.drain(..head.len);
+        } else if !matches!(more(stream, rest).await, Ok(1..)) {
+            return Err(if question { 400 } else { 502 });
         }
-        at = end + 2;
     }
-    // Trailers: lines up to an empty one.
-    loop {
-        let rest = &buf[at..];
-        match rest.windows(2).position(|w| w == b"\r\n") {
-            Some(0) => return Ok(Some((found, at + 2))),
-            Some(n) => at += n + 2,
-            None if rest.len() < 1024 => return Ok(None),
-            None => return Err(400),
+}
+
+/// How slowly a body may come: a client that writes 64 kB a second is served, with as much again to spare.
+const SLOWEST_BODY: (Duration, u64) = (Duration::from_secs(2), 32_000);
+
+/// How a question is taken.
+pub struct Taking<'a> {
+    /// When its head has to be there.
+    pub head_by: Instant,
+    /// The longest body, in bytes.
+    pub longest: usize,
+    /// For bodies of over 64 KiB: one is not read further while there is none.
+    pub room: &'a Room,
+}
+
+/// A body waits for room no longer: its client is better told to come again.
+const ROOM: Duration = Duration::from_secs(10);
+/// How often room is asked for: short beside what a long body takes to come.
+const ASK_ROOM: Duration = Duration::from_millis(5);
+
+async fn room_for(room: &Room, bytes: usize) -> Result<Held, Fault> {
+    let wait = async {
+        loop {
+            match room.take(bytes, usize::MAX) {
+                Some(held) => return held,
+                None => _ = Timer::after(ASK_ROOM).await,
+            }
         }
+    };
+    if bytes > room.size() {
+        return Err(413);
     }
+    within(ROOM, wait).await.ok_or(503)
 }
 
-/// Takes one message whole off the stream; `rest` holds what was read ahead, before and after.
+/// Takes one message whole off the stream; `rest` holds what was read ahead, before and after. A question's body comes no
+/// slower than is stated above; of an answer the caller keeps the time.
 async fn message(
     stream: &Async<TcpStream>,
     rest: &mut Vec<u8>,
-    question: bool,
+    question: Option<Taking<'_>>,
     longest: usize,
-    room: Option<&Room>,
 ) -> Result<Message, Fault> {
-    let broken = if question { 400 } else { 502 };
-    let head = loop {
-        if let Some(head) = head(rest, question, longest, room)? {
-            if !head.interim {
-                break head;
-            }
-            rest.drain(..head.len);
-        } else if !matches!(more(stream, rest).await, Ok(1..)) {
-            return Err(broken);
-        }
+    let broken = if question.is_some() { 400 } else { 502 };
+    let head = head_of(stream, rest, question.is_some(), longest);
+    let head = match &question {
+        Some(taking) => wait_until(taking.head_by, head).await.unwrap_or(Err(408))?,
+        None => head.await?,
     };
     let Head { mut message, len, form, waits, .. } = head;
-    if waits && question && rest.len() == len {
+    let behind = rest.split_off(len);
+    message.buf = std::mem::replace(rest, behind);
+    if let (Some(taking), Form::Length(n)) = (&question, form) {
+        if n > LONGEST_BODY {
+            message.held.push(room_for(taking.room, n).await?);
+        }
+        message.buf.reserve_exact(n);
+    }
+    if waits && question.is_some() && rest.is_empty() {
         write_all(stream, &[b"HTTP/1.1 100 Continue\r\n\r\n"]).await.map_err(|_| broken)?;
     }
-    let end = loop {
-        let whole = match form {
-            Form::Length(n) => (rest.len() >= len + n).then(|| (len..len + n, len + n)),
-            Form::Chunked => chunks(rest, len, longest)?.map(|(found, end)| {
-                let mut to = len;
-                for chunk in found {
-                    rest.copy_within(chunk.clone(), to);
-                    to += chunk.len();
-                }
-                (len..to, end)
-            }),
-            Form::ToTheEnd if rest.len() > len + longest => return Err(413),
-            Form::ToTheEnd => None,
-        };
-        if let Some((body, end)) = whole {
-            message.body = body;
-            break end;
+    let (begun, mut body, mut room) = (Instant::now(), Body::new(form), LONGEST_BODY);
+    loop {
+        let part = body.take(rest)?;
+        message.buf.extend_from_slice(&part);
+        let taken = message.buf.len() - len;
+        if (taken as u64).saturating_add(body.announced()) > longest as u64 {
+            return Err(413);
         }
-        match more(stream, rest).await {
-            Ok(0) if form == Form::ToTheEnd => {
-                message.body = len..rest.len();
-                break rest.len();
+        if body.ended() {
+            message.body = len..len + taken;
+            return Ok(message);
+        }
+        if !part.is_empty() {
+            continue;
+        }
+        let Some(taking) = &question else {
+            match more(stream, rest).await {
+                Ok(0) if form == Form::ToTheEnd => body.close(),
+                Ok(1..) => {}
+                _ => return Err(broken),
             }
-            Ok(1..) => {}
-            _ => return Err(broken),
+            continue;
+        };
+        if form == Form::Chunked && taken > room {
+            // Twice what is there, as a buffer grows by doubling.
+            message.held.push(room_for(taking.room, 2 * room).await?);
+            room *= 2;
         }
-    };
-    let ahead = rest.split_off(end);
-    message.buf = std::mem::replace(rest, ahead);
-    Ok(message)
+        let (grace, pace) = SLOWEST_BODY;
+        let due = begun + grace + Duration::from_millis(1000 * taken as u64 / pace);
+        match wait_until(due, more_of(stream, rest, MOST_READ)).await {
+            Some(Ok(1..)) => {}
+            Some(_) => return Err(broken),
+            None => return Err(408),
+        }
+    }
 }
 
-pub async fn question(stream: &Async<TcpStream>, rest: &mut Vec<u8>) -> Result<Message, Fault> {
-    message(stream, rest, true, LONGEST_BODY, None).await
+/// A question, taken whole.
+pub async fn question(
+    stream: &Async<TcpStream>,
+    rest: &mut Vec<u8>,
+    taking: Taking<'_>,
+) -> Result<Message, Fault> {
+    let longest = taking.longest;
+    message(stream, rest, Some(taking), longest).await
 }
 
 /// The answer to what was just written; the connection is not for more if anything came beyond it.
-pub async fn answer(
-    stream: &Async<TcpStream>,
-    longest: usize,
-    room: Option<&Room>,
-) -> Result<Message, Fault> {
+async fn answer(stream: &Async<TcpStream>, longest: usize) -> Result<Message, Fault> {
     let mut rest = Vec::new();
-    let mut answer = message(stream, &mut rest, false, longest, room).await?;
+    let mut answer = message(stream, &mut rest, None, longest).await?;
     answer.close |= !rest.is_empty();
     Ok(answer)
 }
@@ -278,5 +306,5 @@
     let parts: [&[u8]; 5] =
         [b"GET ", target.as_bytes(), b" HTTP/1.1\r\nHost: ", host.as_bytes(), b"\r\n\r\n"];
     write_all(stream, &parts).await.map_err(|e| format!("not written: {e}"))?;
-    answer(stream, longest, None).await.map_err(|_| "a broken answer".to_string())
+    answer(stream, longest).await.map_err(|_| "a broken answer".to_string())
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -27,10 +27,16 @@
 
 /// Reads some more into the buffer; `Ok(0)` is the end. Dropped while it waits, it leaves the buffer as it was.
 pub async fn more(stream: &Async<TcpStream>, buf: &mut Vec<u8>) -> io::Result<usize> {
+    // A page at a time, as heads fit; what is longer already is read in longer parts.
+    let most = if buf.len() < 4096 { 4096 } else { MOST_READ };
+    more_of(stream, buf, most).await
+}
+
+/// The same, so many bytes at most.
+pub async fn more_of(stream: &Async<TcpStream>, buf: &mut Vec<u8>, most: usize) -> io::Result<usize> {
     loop {
         let old = buf.len();
-        // A page at a time, as heads fit; what is longer already is read in longer parts.
-        buf.resize(old + if old < 4096 { 4096 } else { MOST_READ }, 0);
+        buf.resize(old + most, 0);
         let got = stream.get_ref().read(&mut buf[old..]);
         buf.truncate(old + got.as_ref().copied().unwrap_or(0));
         match got {
@@ -62,7 +68,7 @@
 
 /// How many bytes all long messages may hold together, from their head until they are passed on.
 #[derive(Clone)]
-pub struct Room(Rc<Cell<usize>>);
+pub struct Room(Rc<Cell<usize>>, usize);
 
 /// A part of the room, given back when it goes.
 pub struct Held {
@@ -72,7 +78,12 @@
 
 impl Room {
     pub fn new(bytes: usize) -> Room {
-        Room(Rc::new(Cell::new(bytes)))
+        Room(Rc::new(Cell::new(bytes)), bytes)
+    }
+
+    /// All of it, in bytes.
+    pub fn size(&self) -> usize {
+        self.1
     }
 
     /// Takes so many bytes, unless that is more than `longest` or than is left.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -68,7 +68,7 @@
             most_shots: number("most shots", 1.0) as u64,
             second_copies: number("second copies", 0.0) > 0.0,
             connect_time: number("connect time", 1e4) as Tenths,
-            longest_body: http1::LONGEST_BODY as u64,
+            longest_body: http1::LONGEST_OF_ALL as u64,
             namespaces: namespaces.iter().enumerate().map(of_namespace).collect(),
             tenants,
             doors: Vec::new(),
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -166,6 +166,7 @@
     }
 }
 
+#[derive(Default)]
 pub(crate) struct Shot {
     pub cache: Cache,
     pub sent: Tenths,
@@ -173,6 +174,7 @@
     pub out: bool,
     pub may_have_run: bool,
     pub bad: bool,
+    pub begun: bool, // its answer is on its way to the client
     pub fresh: bool, // the cache will likely ask the origin
 }
 
@@ -209,6 +211,7 @@
     pub barred: bool, // by operators
     pub born: Tenths,
     pub out: u64,           // own shots in flight
+    pub flows: u64,         // of these, whose answers have begun
     pub owes_since: Tenths, // last answer, or the first shot since nothing was out
     pub answered: Tenths,   // last
     pub heard: Tenths,      // when the shot was sent that was answered and had been sent last
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -265,7 +265,7 @@
 
     fn silent(&self, cache: Cache) -> bool {
         let c = &self.caches[cache];
-        c.out > 0 && self.now - c.owes_since > self.hush()
+        c.out > c.flows && self.now - c.owes_since > self.hush()
     }
 
     /// The share of its keys that a cache may have by now, in thousandths.
@@ -511,7 +511,8 @@
         let ns = &l.rules;
         let ran = l.shots.iter().filter(|s| s.may_have_run && ns.repeats == "tagged");
         let by = ran.map(|s| s.sent + ns.window).min().unwrap_or(l.expires);
-        l.shots.push(Shot { cache, sent, company, out: true, may_have_run: true, bad: false, fresh });
+        let shot = Shot { cache, sent, company, out: true, may_have_run: true, fresh, ..Shot::default() };
+        l.shots.push(shot);
         let copied = ns.copies_after.and_then(|part| self.times.under(part));
         out.shoot(lkp, cache, l.expires.min(sent + ns.shot_wait), by);
         if Some(cache) != self.origin {
@@ -703,9 +704,20 @@
         router.lookups.contains_key(&self.0)
     }
 
-    /// A stream has begun: it is the client's now, and no clock of ours runs for it.
-    pub fn answer_begun(self, router: &mut Router) {
-        router.lookups.entry(self.0).and_modify(|l| l.begun = true);
+    /// A shot's answer has begun: it is the client's now, and no clock of ours runs for it, nor does the cache
+    /// owe anything for it. What else is out for the lookup is of no use any more.
+    pub fn answer_begun(self, router: &mut Router, shot: usize, out: &mut dyn Carrier) {
+        let (now, withdrawals) = (router.now, router.house.withdrawals);
+        let Some(l) = router.lookups.get_mut(&self.0) else { return };
+        l.begun = true;
+        if let Some(s) = l.shots.get_mut(shot).filter(|s| s.out && !s.begun) {
+            s.begun = true;
+            let c = &mut router.caches[s.cache];
+            (c.owes_since, c.answered, c.hushed, c.flows) = (now, now, false, c.flows + 1);
+            c.heard = c.heard.max(s.sent);
+        }
+        let others = l.shots.iter().enumerate().filter(|(i, s)| s.out && *i != shot && withdrawals);
+        others.for_each(|(i, _)| out.withdraw(self, i));
     }
 
     pub fn client_left(self, router: &mut Router, out: &mut dyn Carrier) {
@@ -734,10 +746,10 @@
         s.may_have_run = !not_run.contains(&ending);
         // Who alone may serve it may be asked again across a connection that broke.
         s.bad = ending != Ending::Miss && !(ending == Ending::Broken && l.order.is_some());
-        let (cache, sent, company, fresh) = (s.cache, s.sent, s.company, s.fresh);
+        let (cache, sent, company, fresh, begun) = (s.cache, s.sent, s.company, s.fresh, s.begun);
         let c = &mut router.caches[cache];
         let silent = c.owes_since <= sent;
-        c.out -= 1;
+        (c.out, c.flows) = (c.out - 1, c.flows - u64::from(begun));
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full | Ending::Wrong) {
             (c.owes_since, c.answered, c.hushed) = (router.now, router.now, false);
             c.heard = c.heard.max(sent);
@@ -791,7 +803,10 @@
         if ending == Ending::Wrong && !finished && !over {
             out.abandon(self);
         }
-        if finished || over || ending == Ending::Wrong {
+        let l = &router.lookups[&self.0];
+        if l.begun && l.out() && !over {
+            // Another shot's answer is the client's by now, whatever became of this one.
+        } else if finished || over || ending == Ending::Wrong {
             router.close(self, out);
         } else if ending == Ending::Miss && router.house.origin_kind.is_some() && in_ring {
             router.ask_origin(self, out);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -149,9 +149,9 @@
 }
 
 fields! {
-    Shot { cache, sent, company, out, may_have_run, bad, fresh }
+    Shot { cache, sent, company, out, may_have_run, bad, begun, fresh }
     Known {
-        id, zone, cell, standing, barred, born, out, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
+        id, zone, cell, standing, barred, born, out, flows, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
         refusals, timely, room, credit,
     }
 }
--- a/crates/resp-door/src/lookup.rs
+++ b/crates/resp-door/src/lookup.rs
@@ -128,7 +128,7 @@
     }
 
     fn read(&self, from: SocketAddr, frames: Vec<Frame>, mut buf: Vec<u8>, at: usize, keep: bool) -> Heard {
-        let none = |ending| Heard { ending, answer: None, keep };
+        let none = |ending| Heard { ending, answer: None, keep, rest: None };
         if let [Frame { kind: Kind::Error, at: text, .. }] = &frames[..] {
             let error = String::from_utf8_lossy(&buf[at + text.start..at + text.end]).to_string();
             let means = meaning(&error, from, SLOTS);
@@ -146,11 +146,11 @@
         let held = self.door.core.room.take(len, usize::MAX);
         if len > ORDINARY && held.is_none() {
             // Read by now, but not to be kept while all others are.
-            return Heard { ending: Ending::Error, answer: None, keep: false };
+            return Heard { ending: Ending::Error, answer: None, keep: false, rest: None };
         }
         buf.drain(..at);
-        let answer = Answer { verdict: Verdict::Resolved, kind: String::new(), body: buf, held };
-        Heard { ending: Ending::Resolved, answer: Some(answer), keep }
+        let answer = Answer { verdict: Verdict::Resolved, kind: String::new(), body: buf, held, flow: None };
+        Heard { ending: Ending::Resolved, answer: Some(answer), keep, rest: None }
     }
 }
 
