New settings are taken whole at SIGHUP or not at all

The proxy's own log and the four files as they lay there told it; the router and the list were ruled out (no other class lost). Classes, account and limits are one object that is settled anew, with a generation by which what is open is left alone; the module's `limits` reads the whole house. Deadlines and attempts are checked for bounds, and a file that lacks a field of the first one is bad. Test: operators (13 bad files, each with its line).

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -74,8 +74,8 @@
 pub trait Ask {
     /// The class whose limits held when it was taken.
     fn class(&self) -> usize;
-    /// What a class is found by.
-    fn place(&self) -> Lookup<'_>;
+    /// What a class is found by; `None` once other settings hold than it was taken under.
+    fn place(&self) -> Option<Lookup<'_>>;
     /// When its time began.
     fn taken(&self) -> Tenths;
     fn key(&self) -> &str;
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -308,12 +308,13 @@
         self.router.shared_by(proxies);
     }
 
-    /// Other limits hold: the router reads them, and each lookup that is open has its class and its time limit anew.
+    /// Other limits hold: the router reads them, and each lookup that is open has its class and its time limit anew, where
+    /// it still has one.
     pub fn renewed(
         &mut self,
         now: Tenths,
         house: &BTreeMap<String, String>,
-        of: impl Fn(&dyn Ask) -> (usize, Tenths),
+        of: impl Fn(&dyn Ask) -> Option<(usize, Tenths)>,
     ) {
         let (router, desk) = self.at(now);
         desk.told(|| Told::Limits(house.clone()));
@@ -321,7 +322,7 @@
         let mut open: Vec<(Lkp, Rc<dyn Ask>)> = desk.open.iter().map(|(l, o)| (*l, o.ask.clone())).collect();
         open.sort_unstable_by_key(|(lkp, _)| lkp.0);
         for (lkp, ask) in open {
-            let (class, limit) = of(&*ask);
+            let Some((class, limit)) = of(&*ask) else { continue };
             let expires = ask.taken() + limit;
             desk.told(|| Told::Renewed { lkp: lkp.0, ns: class, expires });
             lkp.renewed(router, class, expires, desk);
--- a/crates/core/src/classes.rs
+++ b/crates/core/src/classes.rs
@@ -2,14 +2,21 @@
 
 use chalkwalk_limits::{Account, Lookup, Table};
 use chalkwalk_policy::Tenths;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 pub struct Classes {
+    now: RefCell<Settings>,
+    generation: Cell<u64>,
+}
+
+struct Settings {
     house: BTreeMap<String, String>,
+    account: Account,
     of_house: Rc<Table>,
-    now: RefCell<Option<Rc<Table>>>, // what an operator has set
+    limits: Option<Rc<Table>>, // what an operator has set
+    longest: Tenths,           // of the time limits now and before
 }
 
 /// What of a class the door needs when it takes a lookup.
@@ -22,13 +29,44 @@
 }
 
 impl Classes {
-    pub fn new(house: BTreeMap<String, String>, account: &Account, limits: Option<Table>) -> Classes {
-        let now = RefCell::new(limits.map(Rc::new));
-        Classes { house, of_house: Rc::new(Table::of_house(account)), now }
+    pub fn new(house: BTreeMap<String, String>, account: Account, limits: Option<Table>) -> Classes {
+        Classes { now: RefCell::new(Settings::new(house, account, limits, 0)), generation: Cell::new(0) }
     }
 
     fn table(&self) -> Rc<Table> {
-        self.now.borrow().clone().unwrap_or_else(|| self.of_house.clone())
+        let now = self.now.borrow();
+        now.limits.clone().unwrap_or_else(|| now.of_house.clone())
+    }
+
+    /// Other settings hold from now on. Classes are counted anew: what was taken before knows by its generation that its
+    /// place among them may be another's.
+    pub fn settle(&self, house: BTreeMap<String, String>, account: Account, limits: Option<Table>) {
+        let longest = self.longest_limit();
+        *self.now.borrow_mut() = Settings::new(house, account, limits, longest);
+        self.generation.set(self.generation.get() + 1);
+    }
+
+    pub fn generation(&self) -> u64 {
+        self.generation.get()
+    }
+
+    /// Of a body in bytes, whatever its class.
+    pub fn longest_body(&self) -> u64 {
+        self.now.borrow().account.longest_body
+    }
+
+    /// Of the time limits of all lookups that may be open.
+    pub fn longest_limit(&self) -> Tenths {
+        self.now.borrow().longest
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.now.borrow().account.namespaces.iter().map(|n| n.name.clone()).collect()
+    }
+
+    /// What the house says, by its names, without what an operator has set.
+    pub fn said(&self) -> BTreeMap<String, String> {
+        self.now.borrow().house.clone()
     }
 
     pub fn find(&self, lookup: Lookup) -> Taking {
@@ -40,29 +78,32 @@
 
     /// By how many proxies the caches are shared, as it was written down.
     pub fn proxies(&self) -> u64 {
-        let written = self.house.get("proxies").and_then(|n| n.parse::<f64>().ok());
+        let now = self.now.borrow();
+        let written = now.house.get("proxies").and_then(|n| n.parse::<f64>().ok());
         written.map_or(1, |n| n as u64).max(1)
     }
 
     /// The zone that the proxy is in, by its place among the house's.
     pub fn zone(&self) -> usize {
-        self.house.get("zone").and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0) as usize
+        let now = self.now.borrow();
+        now.house.get("zone").and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0) as usize
     }
 
+    /// Other limits of the operator hold from now on, for the same classes of the house.
     pub fn renew(&self, limits: Option<Table>) {
-        *self.now.borrow_mut() = limits.map(Rc::new);
+        self.now.borrow_mut().limits = limits.map(Rc::new);
     }
 
     /// The house's rules with a namespace for each class, as the router reads them; as they are where no operator has
     /// set anything.
     pub fn house(&self) -> BTreeMap<String, String> {
-        let mut said = self.house.clone();
         let now = self.now.borrow();
-        let Some(table) = now.as_ref() else { return said };
+        let mut said = now.house.clone();
+        let Some(table) = now.limits.as_ref() else { return said };
         said.insert("namespaces".into(), table.classes().len().to_string());
         for (i, class) in table.classes().iter().enumerate() {
             let of = format!("namespace {} ", class.namespace);
-            let own = self.house.iter().filter_map(|(name, value)| Some((name.strip_prefix(&of)?, value)));
+            let own = now.house.iter().filter_map(|(name, value)| Some((name.strip_prefix(&of)?, value)));
             said.extend(own.map(|(name, value)| (format!("namespace {i} {name}"), value.clone())));
             let l = &class.limits;
             let mut set = |name: &str, value: Option<u64>| {
@@ -81,3 +122,16 @@
         said
     }
 }
+
+impl Settings {
+    fn new(
+        house: BTreeMap<String, String>,
+        account: Account,
+        limits: Option<Table>,
+        longest: Tenths,
+    ) -> Settings {
+        let own = account.namespaces.iter().map(|n| n.time_limit).max().unwrap_or(0);
+        let of_house = Rc::new(Table::of_house(&account));
+        Settings { house, account, of_house, limits: limits.map(Rc::new), longest: longest.max(own) }
+    }
+}
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -44,7 +44,11 @@
         let (sooner, sooner_told) = bounded(1);
         let (wanted, wanted_told) = bounded(1);
         let members = Members::new(&rules.zones, &rules.kinds);
-        let classes = Classes::new(std::mem::take(&mut rules.house), &rules.account, rules.limits.take());
+        let classes = Classes::new(
+            std::mem::take(&mut rules.house),
+            std::mem::take(&mut rules.account),
+            rules.limits.take(),
+        );
         let clock = Clock::default();
         let tape = (tape, clock.now());
         let book = Book::new(rules.seed, &classes.house(), members, (sooner, wanted), log.clone(), tape);
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -22,7 +22,7 @@
 /// has a connection by then is let in.
 pub async fn leave(core: &Rc<Core>, accepting: Task<()>) {
     let told = core.clock.now();
-    let last = told + core.rules.longest_limit().min(LONGEST_LIMIT) + TO_THE_LAST;
+    let last = told + core.classes.longest_limit().min(LONGEST_LIMIT) + TO_THE_LAST;
     core.leave(told, last);
     info!(core.log, "leaving"; "open" => core.book.borrow().open(), "succeeded" => core.life.succeeded());
     // A successor takes who comes from now on.
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -5,6 +5,7 @@
 use crate::core::Core;
 use crate::members::Line;
 use crate::pool::{Conn, SPARE};
+use crate::rules::Rules;
 use chalkwalk_limits::Table;
 use chalkwalk_net::{wait_until, within};
 use chalkwalk_policy::{Cache, Ending, Lkp, Tenths};
@@ -76,12 +77,23 @@
     core.classes.renew(limits);
     let house = core.classes.house();
     let of = |ask: &dyn Ask| {
-        let taking = core.classes.find(ask.place());
-        (taking.class, taking.time_limit)
+        let taking = core.classes.find(ask.place()?);
+        Some((taking.class, taking.time_limit))
     };
     tell(core, |book, now| book.renewed(now, &house, of));
 }
 
+/// Other settings of the house hold from now on, and an operator's limits on them. What is open keeps the rules that it was
+/// taken with.
+pub fn settle(core: &Rc<Core>, mut rules: Rules) {
+    let limits = rules.limits.take();
+    core.rules.connect_time.set(rules.connect_time.get());
+    core.rules.drain_grace.set(rules.drain_grace.get());
+    core.classes.settle(rules.house, rules.account, limits);
+    let house = core.classes.house();
+    tell(core, |book, now| book.renewed(now, &house, |_| None));
+}
+
 /// Calls the router back at the times it has named; never ends.
 pub async fn wakes(core: Rc<Core>) {
     loop {
@@ -228,7 +240,7 @@
 fn open_to(core: &Core, cache: Cache) -> bool {
     let off = core.book.borrow().members.off_since(cache);
     // Nine tenths of the grace: the write itself takes time.
-    off.is_none_or(|since| core.clock.now() < since + core.rules.drain_grace * 9 / 10)
+    off.is_none_or(|since| core.clock.now() < since + core.rules.drain_grace.get() * 9 / 10)
 }
 
 /// A connection to the cache, from the pool or new; else how the shot ends that wanted it.
@@ -240,7 +252,7 @@
         return Ok(conn);
     }
     let permit = core.budget.take(|| core.pool.close_longest_idle()).await;
-    let connected = within(core.rules.connect_time, Async::<TcpStream>::connect(addr)).await;
+    let connected = within(core.rules.connect_time.get(), Async::<TcpStream>::connect(addr)).await;
     let stream = connected.ok_or(Ending::Unreachable)?.map_err(|e| {
         // Out of descriptors (EMFILE, ENFILE), buffers or ports, as Linux numbers it: that is no word on the cache.
         match e.raw_os_error() {
@@ -264,7 +276,7 @@
         Some(())
     };
     // As long as a connection may take, and as long again for the answer.
-    let answered = within(core.rules.connect_time * 2, ask).await.flatten().is_some();
+    let answered = within(core.rules.connect_time.get() * 2, ask).await.flatten().is_some();
     if !answered {
         // What was idle to a machine that vanished is reset only when it is back, and by the first lookup on it.
         core.pool.forget(cache);
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -2,6 +2,7 @@
 
 use chalkwalk_limits::{Account, Table};
 use chalkwalk_policy::Tenths;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -16,19 +17,13 @@
     pub account: Account,
     /// What an operator has set, if one has.
     pub limits: Option<Table>,
-    pub connect_time: Duration,
+    pub connect_time: Cell<Duration>,
     /// After which a cache closes a connection that is idle.
     pub idle_time: Duration,
     /// From a drain's notice on, in which a cache still takes shots.
-    pub drain_grace: Tenths,
+    pub drain_grace: Cell<Tenths>,
     /// That the process may hold.
     pub descriptors: usize,
     /// In bytes; a part of it is for long answers.
     pub memory: usize,
 }
-
-impl Rules {
-    pub fn longest_limit(&self) -> Tenths {
-        self.account.namespaces.iter().map(|n| n.time_limit).max().unwrap_or(0)
-    }
-}
--- a/crates/http-door/src/admit.rs
+++ b/crates/http-door/src/admit.rs
@@ -29,6 +29,7 @@
     pub key: Range<usize>,
     pub ns: usize,
     pub class: usize,
+    pub generation: u64, // of the settings that its class is of
     pub write: bool,
     pub taken: Tenths,
     pub expires: Tenths,
@@ -53,7 +54,7 @@
     if message.field("X-Correlation-Id").is_none_or(str::is_empty) {
         return wrong(400);
     }
-    let Some(ns) = door.namespaces.iter().position(|n| n == namespace) else {
+    let Some(ns) = door.namespaces.borrow().iter().position(|n| n == namespace) else {
         return wrong(400);
     };
     if message.doubled(&KEY_FIELDS) {
@@ -77,7 +78,19 @@
     let write = method == "PUT";
     let id = message.bytes("X-Correlation-Id").unwrap_or_default().to_vec();
     let Some(open) = door.open_ids.open(id) else { return wrong(409) };
-    Ok(Lookup { door: door.clone(), key, ns, class, write, taken: came, expires, message, _open: open })
+    let generation = core.classes.generation();
+    Ok(Lookup {
+        door: door.clone(),
+        key,
+        ns,
+        class,
+        generation,
+        write,
+        taken: came,
+        expires,
+        message,
+        _open: open,
+    })
 }
 
 impl Lookup {
--- a/crates/http-door/src/caches.rs
+++ b/crates/http-door/src/caches.rs
@@ -20,8 +20,8 @@
         self.class
     }
 
-    fn place(&self) -> chalkwalk_limits::Lookup<'_> {
-        Lookup::place(self)
+    fn place(&self) -> Option<chalkwalk_limits::Lookup<'_>> {
+        (self.generation == self.door.core.classes.generation()).then(|| Lookup::place(self))
     }
 
     fn taken(&self) -> Tenths {
--- a/crates/http-door/src/door.rs
+++ b/crates/http-door/src/door.rs
@@ -8,13 +8,18 @@
 pub struct Door {
     pub(crate) core: Rc<Core>,
     /// The names of the namespaces, by which clients name them.
-    pub(crate) namespaces: Vec<String>,
+    pub(crate) namespaces: RefCell<Vec<String>>,
     pub(crate) open_ids: OpenIds,
 }
 
 impl Door {
     pub fn new(core: Rc<Core>, namespaces: Vec<String>) -> Rc<Door> {
-        Rc::new(Door { core, namespaces, open_ids: OpenIds::default() })
+        Rc::new(Door { core, namespaces: RefCell::new(namespaces), open_ids: OpenIds::default() })
+    }
+
+    /// Lookups are of these namespaces from now on.
+    pub fn rename(&self, namespaces: Vec<String>) {
+        *self.namespaces.borrow_mut() = namespaces;
     }
 }
 
--- a/crates/http-door/src/take_in.rs
+++ b/crates/http-door/src/take_in.rs
@@ -30,7 +30,7 @@
         return Ok(None);
     }
     let core = &open.core;
-    let longest = core.rules.account.longest_body as usize;
+    let longest = core.classes.longest_body() as usize;
     let taking = Taking { head_by: Instant::now() + SLOWEST, longest, room: &core.room };
     http1::question(stream, rest, taking).await.map(Some)
 }
--- a/crates/limits/src/draft.rs
+++ b/crates/limits/src/draft.rs
@@ -87,7 +87,7 @@
 }
 
 /// The house's rules: the account that a file has to keep to.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Account {
     pub most_shots: u64,
     pub second_copies: bool,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,8 +3,10 @@
 //! It may use `core`, `http1`, `limits`, `net` and `house`. A door never enters it, nor another source.
 
 mod list;
+mod shape;
 
 pub use list::{Source, follow, known};
+pub use shape::Shape;
 
 use chalkwalk_core::rules::Rules;
 use chalkwalk_house::fields::{Object, Read, object, text, text_or, whole};
@@ -27,12 +29,17 @@
     pub known: Value,
     pub namespaces: Vec<String>,
     pub core: Rules,
+    /// What it has said at all.
+    pub shape: Shape,
 }
 
 pub fn address(said: &str, what: &str) -> Read<SocketAddr> {
     said.parse().map_err(|_| format!("{what}: expected an address and a port, got \"{said}\""))
 }
 
+/// No house allows more: what is above is a slip of the pen.
+const MOST_SHOTS: f64 = 1000.0;
+
 impl HouseRules {
     pub fn load(path: &str) -> Read<HouseRules> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
@@ -49,6 +56,27 @@
         let limit = |i: usize| number(&format!("namespace {i} time limit"), 0.0).min(3.6e7) as Tenths;
         let tenths = |name: &str, or: f64| Duration::from_micros(100 * number(name, or) as u64);
         let nothing = Object::new();
+        for (i, name) in namespaces.iter().enumerate() {
+            let bad = |what: &str| {
+                Err(format!("setting namespaces[{i}].{what}: expected a time above 0 and up to an hour"))
+            };
+            if namespaces[..i].contains(name) {
+                return Err(format!("setting namespaces[{i}].name: \"{name}\" is there twice"));
+            }
+            let wrong = |name: &str| !(1.0..=3.6e7).contains(&number(&format!("namespace {i} {name}"), 1e4));
+            if wrong("time limit") {
+                return bad("timeLimitNs");
+            }
+            if wrong("target time") {
+                return bad("targetTimeNs");
+            }
+        }
+        let most_shots = number("most shots", 1.0);
+        if most_shots.fract() != 0.0 || !(1.0..=MOST_SHOTS).contains(&most_shots) {
+            return Err(format!(
+                "setting ceilings.mostShots: expected a whole number above 0, got {most_shots}"
+            ));
+        }
         let limits = said.get("limits").map_or(Ok(&nothing), |l| object(l, "field limits"))?;
         let seed = text_or(said, "seed", "0")?;
         let word =
@@ -86,9 +114,9 @@
             memory: limits.get("memory_mb").and_then(Value::as_u64).unwrap_or(32) as usize * 1_000_000,
             account,
             limits: None,
-            connect_time: tenths("connect time", 1e4),
+            connect_time: tenths("connect time", 1e4).into(),
             idle_time: tenths("idle time", 1e5),
-            drain_grace: number("drain grace", 0.0) as Tenths,
+            drain_grace: (number("drain grace", 0.0) as Tenths).into(),
             house,
             zones,
             kinds,
@@ -107,6 +135,7 @@
             known: said.get("known").cloned().unwrap_or(Value::Null),
             namespaces,
             core,
+            shape: Shape::of(said),
         })
     }
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -125,11 +125,12 @@
         }
     }
 
-    /// Other limits hold from now on, and budgets go on counting. `renewed` tells lookups that are open.
+    /// Other limits hold from now on, and budgets go on counting. What is open keeps the rules that it was taken
+    /// with; `renewed` tells it others. Zones, kinds and the origin are the same.
     pub fn limits(&mut self, said: &BTreeMap<String, String>) {
-        let namespaces = HouseRules::read(said).namespaces;
-        let before = std::mem::replace(&mut self.house.namespaces, namespaces);
-        let pairs = self.house.namespaces.iter().zip(&before);
+        let house = HouseRules { proxies: self.house.proxies, ..HouseRules::read(said) };
+        let before = std::mem::replace(&mut self.house, house);
+        let pairs = self.house.namespaces.iter().zip(&before.namespaces);
         pairs.for_each(|(ns, before)| ns.purse.count_from(&before.purse));
     }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -11,7 +11,7 @@
 use chalkwalk_core::{drain, flow};
 use chalkwalk_http_door as http;
 use chalkwalk_operator::{Capture, Membership, Resp};
-use chalkwalk_platform::{self as platform, HouseRules};
+use chalkwalk_platform::{self as platform, HouseRules, Shape};
 use chalkwalk_resp_door as resp_door;
 use chalkwalk_source::Feed;
 use slog::{Logger, info, warn};
@@ -33,7 +33,7 @@
     (listener, handed): (TcpListener, bool),
 ) -> Result<(), String> {
     let Read { rules, membership, resp, capture } = read;
-    let HouseRules { listen, console, list, known, namespaces, core: rules } = rules;
+    let HouseRules { listen, console, list, known, namespaces, core: rules, shape } = rules;
     let listener = Async::new(listener).map_err(|e| format!("cannot listen: {e}"))?;
     let resp_listener = resp.as_ref().map(|r| {
         let bound = TcpListener::bind(r.listen);
@@ -70,8 +70,7 @@
             Some(List::follow(&core, (list, known), membership.as_ref(), (listen, handed)))
         };
         if let (Some(resp), Some(resp_listener)) = (&resp, resp_listener) {
-            let door =
-                resp_door::Door::new(&core, settings(resp, core.rules.account.namespaces.len()), of_servers);
+            let door = resp_door::Door::new(&core, settings(resp, core.classes.names().len()), of_servers);
             resp_door::seeds(&door);
             core.ex.spawn(resp_door::follow(door.clone())).detach();
             core.ex.spawn(resp_door::accept(door, resp_listener)).detach();
@@ -81,10 +80,14 @@
         let door = http::Door::new(core.clone(), namespaces);
         let feed = list.as_ref().and_then(List::feed);
         let operators = console.map(|listener| Operators::start(&core, listener));
-        let accepting = core.ex.spawn(open_doors(core.clone(), door, listener, feed, (handed, listen)));
+        let accepting =
+            core.ex.spawn(open_doors(core.clone(), door.clone(), listener, feed, (handed, listen)));
         loop {
             match signals.next().await {
-                Some(Ok(Signal::Hup)) => reread(&core, &given, list.as_ref(), (&membership, &resp, &capture)),
+                Some(Ok(Signal::Hup)) => {
+                    let was = Was { membership: &membership, resp: &resp, capture: &capture, shape: &shape };
+                    reread(&core, &door, &given, list.as_ref(), was);
+                }
                 Some(Ok(_)) => break,
                 None | Some(Err(_)) => _ = Timer::after(Duration::from_secs(1)).await,
             }
@@ -133,31 +136,61 @@
     }
 }
 
-/// Reads both files again, and takes both or neither: the list may have moved, other limits may hold, and all else stays
-/// as it was at the start. What the configuration knows of caches is as old as the file, and what the list has told since
-/// is newer.
-fn reread(
-    core: &Rc<Core>,
-    given: &Given,
-    list: Option<&List>,
-    (membership, resp, capture): (&Option<Membership>, &Option<Resp>, &Option<Capture>),
-) {
-    match given.read() {
-        Ok(read) if read.membership != *membership || read.resp != *resp || read.capture != *capture => {
-            let fault = "its membership, RESP door or capture is another, which needs a restart";
-            warn!(core.log, "new configuration passed over"; "fault" => fault);
-        }
-        Ok(read) if read.rules.namespaces != names(core) => {
-            let fault = "its namespaces are others, which needs a restart";
-            warn!(core.log, "new configuration passed over"; "fault" => fault);
-        }
-        Ok(Read { rules, .. }) => {
+/// What was said at the start, and takes a restart to be changed.
+struct Was<'a> {
+    membership: &'a Option<Membership>,
+    resp: &'a Option<Resp>,
+    capture: &'a Option<Capture>,
+    shape: &'a Shape,
+}
+
+/// What indices at work stand for, by the house's names.
+const SETTLED: [&str; 7] = ["zones", "zone", "kinds", "origin kind", "through", "watched", "tenants"];
+
+/// Why what was read can't be taken without a restart, if it can't.
+fn needs_restart(core: &Core, read: &Read, was: &Was) -> Option<String> {
+    let Read { rules, membership, resp, capture } = read;
+    if let Some(field) = was.shape.lacking_in(&rules.shape) {
+        return Some(format!("field {field}: missing, and was there at the start"));
+    }
+    if membership != was.membership || resp != was.resp || capture != was.capture {
+        return Some("its membership, RESP door or capture is another, which needs a restart".into());
+    }
+    let said = core.classes.said();
+    let other = SETTLED.iter().find(|name| said.get(**name) != rules.core.house.get(**name));
+    if let Some(name) = other {
+        return Some(format!("its {name} are others, which needs a restart"));
+    }
+    if rules.core.zones != core.rules.zones || rules.core.kinds != core.rules.kinds {
+        return Some("its zones or kinds are others, which needs a restart".into());
+    }
+    // The RESP door knows namespaces by their places.
+    let renamed = rules.namespaces != core.classes.names();
+    (resp.is_some() && renamed).then(|| "its namespaces are others, which needs a restart with RESP".into())
+}
+
+/// Reads both files again, and takes both or neither: settings of the house, limits of the operator, where the list is. All
+/// else stays as it was at the start. What the configuration knows of caches is as old as the file, and what the list has
+/// told since is newer.
+fn reread(core: &Rc<Core>, door: &http::Door, given: &Given, list: Option<&List>, was: Was) {
+    let read = given.read().and_then(|read| match needs_restart(core, &read, &was) {
+        Some(fault) => Err(fault),
+        None => Ok(read),
+    });
+    match read {
+        Ok(Read { rules, resp, .. }) => {
             let at = rules.list.map_or_else(|| "-".to_string(), |at| at.to_string());
-            info!(core.log, "configuration read again"; "list" => at);
+            let new = rules.core.house != core.classes.said();
+            info!(core.log, "configuration read again"; "list" => at, "settings" => if new { "new" } else { "as before" });
             if let Some(list) = list {
                 list.read_again(rules.list);
             }
-            if given.operator.is_some() {
+            if new {
+                if resp.is_none() {
+                    door.rename(rules.namespaces);
+                }
+                flow::settle(core, rules.core);
+            } else if given.operator.is_some() {
                 flow::renew(core, rules.core.limits);
             }
         }
@@ -170,10 +203,6 @@
     }
 }
 
-fn names(core: &Core) -> Vec<String> {
-    core.rules.account.namespaces.iter().map(|n| n.name.clone()).collect()
-}
-
 /// The RESP door's settings, as the door has them.
 fn settings(resp: &Resp, namespaces: usize) -> resp_door::Settings {
     let prefix = |(prefix, namespace, writes): &(String, usize, usize)| resp_door::Prefix {
--- a/crates/proxy/tests/operators.rs
+++ b/crates/proxy/tests/operators.rs
@@ -5,7 +5,7 @@
 use day::*;
 use expect_test::expect;
 use serde_json::{Value, json};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
@@ -218,3 +218,94 @@
     stream.write_all(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
     message(&mut stream).map_or("none".into(), |(head, _)| head[9..12].to_string())
 }
+
+/// Slow enough that settings change meanwhile.
+fn slow(_: usize) -> (&'static str, bool) {
+    sleep(Duration::from_millis(600));
+    ("HTTP/1.1 200 OK\r\nX-Lookup: hit\r\nContent-Length: 4\r\n\r\nslow", false)
+}
+
+/// Classes come and go at SIGHUP, and what is open keeps its own; of a file that is wrong anywhere nothing is taken.
+#[test]
+fn new_settings_are_taken_whole_or_not_at_all() {
+    let mut day = Day::new(&[("amber", slow)]);
+    let read = || serde_json::from_str::<Value>(&std::fs::read_to_string(&day.path).unwrap()).unwrap();
+    let classes = |day: &Day| {
+        let of = ["page", "once", "fresh"].map(|ns| {
+            let mut client = day.client();
+            day.write(&mut client, "GET", ns, "k");
+            message(&mut client).map_or("none".into(), |(head, _)| head[9..12].to_string())
+        });
+        of.join(" ")
+    };
+    day.told.say(format!("before: {}", classes(&day)));
+    let good = read();
+    let with = |path: &str, value: Value| {
+        let mut settings = good.clone();
+        *settings.pointer_mut(path).unwrap() = value;
+        settings.to_string()
+    };
+    let mut lacks = good.clone();
+    lacks["settings"]["ceilings"].as_object_mut().unwrap().remove("mostShots");
+    let limit = "/settings/namespaces/0/timeLimitNs";
+    let huge = with(limit, json!(77)).replace("77", "1e999");
+    let bad = [
+        String::new(),
+        good.to_string()[..300].to_string(),
+        lacks.to_string(),
+        with(limit, json!(-5)),
+        with(limit, json!(0)),
+        with(limit, json!("2 s")),
+        with(limit, json!(77)).replace("77", "NaN"),
+        huge,
+        with(limit, json!(1e18)),
+        with(limit, Value::Null),
+        with("/settings/ceilings/mostShots", json!(0)),
+        with("/settings/ceilings/mostShots", json!(2.5)),
+        with("/settings/namespaces/1/name", json!("page")),
+    ];
+    for text in bad {
+        std::fs::write(&day.path, text).unwrap();
+        day.signal("-HUP");
+        sleep(Duration::from_millis(100));
+    }
+    day.told.say(format!("after bad ones: {}", classes(&day)));
+    let mut open = day.client();
+    day.write(&mut open, "GET", "once", "open");
+    let mut fresh = good.clone();
+    fresh["settings"]["namespaces"][1]["name"] = json!("fresh");
+    fresh["settings"]["ceilings"]["mostShots"] = json!(1);
+    std::fs::write(&day.path, fresh.to_string()).unwrap();
+    sleep(Duration::from_millis(100));
+    day.signal("-HUP");
+    day.hear(&mut open);
+    day.told.say(format!("after a good one: {}", classes(&day)));
+    day.told.0.lock().unwrap().retain(|line| !line.starts_with("amber"));
+    day.signal("-KILL");
+    let mut log = String::new();
+    day.proxy.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+    for line in log.lines() {
+        if let Some((_, fault)) = line.split_once("passed over, fault: ") {
+            day.told.say(fault.replace(&day.path, "FILE").trim_end_matches(", proxy: p").to_string());
+        }
+    }
+    day.told(expect![[r#"
+        before: 200 200 400
+        after bad ones: 200 200 400
+        client: 200 slow
+        after a good one: 200 400 200
+        FILE is no JSON: EOF while parsing a value at line 1 column 0
+        FILE is no JSON: EOF while parsing a string at line 1 column 300
+        field settings.ceilings.mostShots: missing, and was there at the start
+        setting namespaces[0].timeLimitNs: expected a time above 0 and up to an hour
+        setting namespaces[0].timeLimitNs: expected a time above 0 and up to an hour
+        setting namespaces[0].timeLimitNs: expected a number, got "2 s"
+        FILE is no JSON: expected value at line 1 column 696
+        FILE is no JSON: number out of range at line 1 column 700
+        setting namespaces[0].timeLimitNs: expected a time above 0 and up to an hour
+        field settings.namespaces[].timeLimitNs: missing, and was there at the start
+        setting ceilings.mostShots: expected a whole number above 0, got 0
+        setting ceilings.mostShots: expected a whole number above 0, got 2.5
+        setting namespaces[1].name: "page" is there twice
+    "#]]);
+}
--- a/crates/resp-door/src/lookup.rs
+++ b/crates/resp-door/src/lookup.rs
@@ -39,8 +39,8 @@
         self.class
     }
 
-    fn place(&self) -> Place<'_> {
-        Place { namespace: self.ns, path: &self.key, tenant: &self.user, door: crate::DOOR }
+    fn place(&self) -> Option<Place<'_>> {
+        Some(Place { namespace: self.ns, path: &self.key, tenant: &self.user, door: crate::DOOR })
     }
 
     fn taken(&self) -> Tenths {
