A cache that came back to the list at another place while it was out is put back there

A line for each list entry and each call showed: the cache was gone from the list (it restarts while it is out), its place was freed, and it came back at another; Router::bar took the first place with the id, the old one, and the new one stayed barred until the next list. Ruled out: the cold credit (others put back were asked within 0.3 s), the handover (both processes had the call). Test: decisions, which fails without it.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -189,7 +189,8 @@
     pub fn bar(&mut self, id: &str, out: bool, at: Tenths) {
         _ = if out { self.barred.insert(id.to_string()) } else { self.barred.remove(id) };
         let by_chance = self.house.cold_floor() + self.chance.below(1000);
-        if let Some(c) = self.caches.iter_mut().find(|c| c.id == id) {
+        // All places that have the name: one that left the list and came back may be at another.
+        for c in self.caches.iter_mut().filter(|c| c.id == id) {
             c.barred = out;
             if !out && at > c.born {
                 (c.born, c.credit, c.doubt, c.left, c.stay) = (at, by_chance, 0, false, 0);
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 mod helper;
 
-use chalkwalk_policy::{Ending, Standing};
+use chalkwalk_policy::{Ending, Entry, Standing};
 use expect_test::expect;
 use helper::{CACHE, House, WATCH, house};
 
@@ -914,3 +914,24 @@
         h.router.has("ember")
     ));
 }
+
+/// One that leaves the list while it is out, and comes back at another place, is put back there.
+#[test]
+fn a_cache_that_came_back_at_another_place_while_it_was_out_is_put_back() {
+    let mut h = house(&[]);
+    h.pass(1_000_000);
+    h.ready(&FOUR);
+    h.router.bar("birch", true, h.now);
+    h.ready(&["amber", "cedar", "delta"]);
+    let (id, standing) = ("birch", Standing::Ready);
+    let back = Entry { cache: 4, id, zone: 0, kind: 0, cell: 0, standing, born: 0 };
+    h.router.list_changes(&[back], &mut h.trace);
+    let mut asked = Vec::new();
+    for out in [true, false] {
+        h.router.bar("birch", out, h.now);
+        h.trace = Default::default();
+        (0..200).for_each(|i| _ = h.ask(0, &format!("book/{i}")));
+        asked.push(h.told().contains("-> cache 4"));
+    }
+    expect!["[false, true]"].assert_eq(&format!("{asked:?}"));
+}
