A miss earns a cold cache its credit back, as an answer does

A line for each deferral with each cache's state: 1,700 of 1,900 at place(), with six of seven caches cold and within credit below one shot, empty rooms and 0 to 2 shots out; give_credit() gave a cold cache its shot back only when it resolved, and a cold cache is empty: each miss earned a fleet all cold less than it cost, down to the floor. Ruled out: rooms (800 of 800), the cap, silence, the origin (room 1444, 0 to 12 out). Test: decisions, 207 of 400 asked where 8 were.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -290,13 +290,14 @@
     }
 
     /// A cold cache may be sent as much as the mean cache answers, cut by its warmth, and what it answers
-    /// itself. Guards against pushing it over when far more is asked for than the fleet can do.
-    fn give_credit(&mut self, cache: Cache, answered: bool) {
+    /// itself, if only that it lacks the key. Guards against pushing it over when far more is asked for than the
+    /// fleet can do.
+    fn give_credit(&mut self, cache: Cache) {
         let (ready, most) = (self.rings[2].len() as u64 / 128, 1000 + 2 * self.house.cold_floor());
         for i in 0..self.caches.len() {
             let warmth = self.warmth(i);
             if warmth < 1000 && self.ready(i) {
-                let due = if i == cache && answered { 1000 } else { warmth * 5 / 4 / ready };
+                let due = if i == cache { 1000 } else { warmth * 5 / 4 / ready };
                 self.caches[i].credit = (self.caches[i].credit + due).min(most);
             }
         }
@@ -800,7 +801,7 @@
             };
         }
         if from_cache && matches!(ending, Ending::Resolved | Ending::Miss) {
-            router.give_credit(cache, ending == Ending::Resolved);
+            router.give_credit(cache);
         }
         if ending == Ending::Wrong && !finished && !over {
             out.abandon(self);
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -935,3 +935,30 @@
     }
     expect!["[false, true]"].assert_eq(&format!("{asked:?}"));
 }
+
+/// A fleet all cold and empty misses whatever it is asked: its misses earn it credit like answers, or it would be asked
+/// ever less.
+#[test]
+fn misses_of_cold_caches_earn_their_credit_back() {
+    let mut h = house(&[("origin kind", "9"), ("proxies", "4")]);
+    h.pass(1_000_000);
+    let mut rows = FOUR.map(|id| (id, 0, Standing::Ready, 1_000_000)).to_vec();
+    rows.push(("origin", 0, Standing::Ready, 0));
+    h.list(&rows);
+    let mut asked = Vec::new();
+    for second in 0..3 {
+        h.pass(10_000);
+        let mut sent = 0;
+        for i in 0..400 {
+            h.pass(1);
+            let lkp = h.ask(0, &format!("{second}/{i}"));
+            if h.told().contains("->") {
+                sent += 1;
+                h.end(lkp, 0, Ending::Miss);
+                h.end(lkp, 1, Ending::Resolved);
+            }
+        }
+        asked.push(sent);
+    }
+    expect!["[207, 227, 273] of 400 each"].assert_eq(&format!("{asked:?} of 400 each"));
+}
