Order by key, quiet keys and the tail's figures are read from the settings

Need: keepOrder, keyQuietNs, tail and missAllowed of the further deployments. They go into the house's map; absent, nothing changes. Negative times and parts, a wrong type, and order on a stream are refused with a plain line.

--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -15,7 +15,7 @@
 }
 use Form::*;
 
-const NAMED: [(&str, &str, Form); 20] = [
+const NAMED: [(&str, &str, Form); 23] = [
     ("position", "position", Number),
     ("balancers", "proxies", Number),
     ("excessUtility", "excess utility", Number),
@@ -35,10 +35,16 @@
     ("rules.coldNs", "cold time", Time),
     ("rules.fallMultiple", "fall multiple", Number),
     ("rules.fallNs", "fall time", Time),
+    ("rules.keyQuietNs", "key quiet", Time),
+    ("scoreParts.tail", "tail", Number),
+    ("scoreParts.missAllowed", "miss allowed", Number),
     ("familyInfo.originFallMultiple", "origin fall multiple", Number),
 ];
 
-const OF_NAMESPACE: [(&str, &str, Form); 7] = [
+/// Times and parts that are refused below 0, as nothing sensible is meant by it.
+const NOT_NEGATIVE: [&str; 3] = ["rules.keyQuietNs", "scoreParts.tail", "scoreParts.missAllowed"];
+
+const OF_NAMESPACE: [(&str, &str, Form); 9] = [
     ("targetTimeNs", "target time", Time),
     ("timeLimitNs", "time limit", Time),
     ("utility", "utility", Number),
@@ -46,6 +52,8 @@
     ("idempotency", "repeats", Word),
     ("group", "group", Word),
     ("dedupWindowNs", "window", Time),
+    ("streaming", "streams", Flag),
+    ("keepOrder", "in order", Flag),
 ];
 
 const OF_TENANT: [(&str, &str, Form); 2] =
@@ -63,6 +71,10 @@
 fn said(value: &Value, path: &str, form: Form) -> Read<String> {
     let wrong = |kind: &str| format!("setting {path}: expected {kind}, got {value}");
     let number = || value.as_f64().ok_or_else(|| wrong("a number"));
+    let number = || match number() {
+        Ok(n) if n < 0.0 && NOT_NEGATIVE.contains(&path) => Err(wrong("a number that is not negative")),
+        said => said,
+    };
     match form {
         Number => number().map(|n| n.to_string()),
         Time => number().map(|n| (n / 1e5).round().to_string()),
@@ -130,6 +142,16 @@
     let mut rules = BTreeMap::new();
     pick(options, &NAMED, ("", ""), &mut rules)?;
     let namespaces = listed(options, "namespaces", ("namespace", "namespaces"), &OF_NAMESPACE, &mut rules)?;
+    let both = |i: &usize| {
+        ["streams", "in order"]
+            .iter()
+            .all(|f| rules.get(&format!("namespace {i} {f}")).is_some_and(|v| v == "1"))
+    };
+    if let Some(i) = (0..namespaces.len()).find(both) {
+        return Err(format!(
+            "setting namespaces[{i}].keepOrder: a stream has no end to wait for, and can't be kept in order"
+        ));
+    }
     let tenants = listed(options, "tenants", ("tenant", "tenants"), &OF_TENANT, &mut rules)?;
     let kinds = listed(options, "kinds", ("kind", "kinds"), &[], &mut rules)?;
     let zones = listed(options, "zones", ("zone", "zones"), &[], &mut rules)?;
@@ -153,3 +175,44 @@
     }
     Ok(House { rules, namespaces, tenants, kinds, zones })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    /// What is said of order by key reaches the map, nothing changes without it, and what makes no sense is told plainly.
+    #[test]
+    fn order_by_key_is_read_and_checked() {
+        let settings = |more: Value| {
+            let mut ns = json!({"name": "book", "idempotency": "free", "timeLimitNs": 1e9});
+            ns.as_object_mut().unwrap().extend(more["of"].as_object().cloned().unwrap_or_default());
+            let said = json!({"namespaces": [ns], "rules": more["rules"], "scoreParts": more["parts"]});
+            match read(said.as_object().unwrap()) {
+                Ok(house) => ["namespace 0 in order", "key quiet", "tail", "miss allowed"]
+                    .map(|name| house.rules.get(name).cloned().unwrap_or("-".into()))
+                    .join(" "),
+                Err(fault) => fault,
+            }
+        };
+        let told: Vec<String> = [
+            json!({"rules": {}, "parts": {}}),
+            json!({"of": {"keepOrder": true}, "rules": {"keyQuietNs": 5e8}, "parts": {"tail": 0.2, "missAllowed": 0.02}}),
+            json!({"of": {"keepOrder": "yes"}, "rules": {}, "parts": {}}),
+            json!({"of": {"keepOrder": true, "streaming": true}, "rules": {}, "parts": {}}),
+            json!({"rules": {"keyQuietNs": -1}, "parts": {}}),
+            json!({"rules": {}, "parts": {"missAllowed": "few"}}),
+        ]
+        .into_iter()
+        .map(settings)
+        .collect();
+        expect_test::expect![[r#"
+            - - - -
+            1 5000 0.2 0.02
+            setting namespaces[0].keepOrder: expected true or false, got "yes"
+            setting namespaces[0].keepOrder: a stream has no end to wait for, and can't be kept in order
+            setting rules.keyQuietNs: expected a number that is not negative, got -1
+            setting scoreParts.missAllowed: expected a number, got "few""#]]
+        .assert_eq(&told.join("\n"));
+    }
+}
