Lookups with one key run in turn where a namespace asks for it

Lookups of such namespaces now wait in a line by key, one at a time, as taken; the key rests after a shot that may still run (timed out, broken, withdrawn); who can't come to its turn while it is useful, by the median of answers, or finds a hundred ahead, is deferred at once. Lines are bounded and go with their last lookup. Also guards a hot key's writers from each other; it does harm where a key's answers are slow and its lookups could run at once, which is why it acts only where it is asked for.

--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -67,6 +67,7 @@
     pub proxies: u64,
     pub through: bool, // caches fetch for themselves
     pub origin_kind: Option<usize>,
+    pub key_quiet: Tenths, // a key rests after a shot that may still run, where its lookups run in order
 
     pub namespaces: Vec<Rc<Namespace>>, // and the classes that limits make of them
 }
@@ -80,6 +81,7 @@
             let own = |name: &str| format!("namespace {i} {name}");
             Namespace {
                 target: num(&own("target time"), 1e4) as Tenths,
+                in_order: num(&own("in order"), 0.0) > 0.0,
                 late_counts: num(&own("late utility"), 0.0) > 0.0,
                 repeats: word(&own("repeats")).to_string(),
                 group: word(&own("group")).to_string(),
@@ -104,6 +106,7 @@
             cold_share: num("cold share", 1.0),
             cold_time: num("cold time", 0.0) as Tenths,
             proxies: num("proxies", 1.0) as u64,
+            key_quiet: num("key quiet", 0.0) as Tenths,
             through: num("through", 0.0) > 0.0,
             origin_kind: (!word("origin kind").is_empty()).then(|| num("origin kind", 0.0) as usize),
             namespaces: (0..num("namespaces", 0.0) as usize).map(namespace).map(Rc::new).collect(),
@@ -116,6 +119,7 @@
 pub(crate) struct Namespace {
     pub target: Tenths,
     pub late_counts: bool,
+    pub in_order: bool,  // lookups with one key run one at a time, as taken
     pub repeats: String, // replayable, tagged or single-use
     pub group: String,   // which caches drop repeats of a tagged one: all, of one zone, of one cell
     pub window: Tenths,
@@ -201,6 +205,14 @@
     }
 }
 
+/// Lookups with one key, where namespaces ask for order.
+#[derive(Default)]
+pub(crate) struct Line {
+    pub first: Option<Lkp>, // until it is over and all its shots have ended
+    pub behind: Vec<Lkp>,   // as taken
+    pub rests_until: Tenths,
+}
+
 /// What this proxy knows of one cache (or of the origin).
 #[derive(Default)]
 pub(crate) struct Known {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -6,13 +6,14 @@
 //! as things happen to it. `woken` and `probed` bring back what the router asked for. What it wants done
 //! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
 
-use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Lkp, Lookup, Shot};
-use crate::plain::{Standing, Tally, Tenths, mixed, point};
+use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Line, Lkp, Lookup};
+use crate::plain::{Shot, Standing, Tally, Tenths, mixed, point};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 const SECOND: Tenths = 10_000;
 const CACHE_TOKEN: u64 = 1 << 61; // wakes below this are lookups, from here on caches
 const WATCH_TOKEN: u64 = 1 << 62;
+const LONGEST_LINE: usize = 100; // behind one key: more than ever come to their turn while they are useful
 
 impl HouseRules {
     /// Thousandths of a shot that a cold cache may have from this proxy in a second: four shots from all
@@ -74,6 +75,7 @@
     pub(crate) held_late: u64, // ten-thousandths of the answers from what a cache held
     pub(crate) erred: (Cache, bool), // whose the last error on a fetch was; whether one elsewhere succeeded
     pub(crate) fetches_out: [u64; 2], // shots for keys resolved here lately, and for others
+    pub(crate) lines: HashMap<u64, Line>, // by key, where lookups run in order
     pub(crate) fetch_share: [u64; 2], // ten-thousandths of each that caches said they fetched
     pub(crate) fetch_room: u64, // hundredths of a fetch that may be out
     pub(crate) kept: [HashSet<u64>; 2], // keys resolved lately, and before that
@@ -107,6 +109,7 @@
             self.faded = if now - self.faded > 20 * SECOND { now } else { self.faded + SECOND };
             self.times.fade();
             self.taken_lately /= 2;
+            self.lines.retain(|_, l| l.first.is_some() || !l.behind.is_empty() || now < l.rests_until);
             self.admitted = self.admitted.map(|part| (part + 50).min(1000)); // within 20 s whatever is heard
             // Keys are remembered for 4 to 8 s: longer, and too many pass whose copy is gone by then.
             if (self.faded / SECOND).is_multiple_of(4) {
@@ -125,8 +128,8 @@
         }
     }
 
-    /// Other limits hold from now on, and budgets go on counting. What is open keeps the rules that it was taken
-    /// with; `renewed` tells it others. Zones, kinds and the origin are the same.
+    /// Other limits hold from now on, and budgets go on counting. What is open keeps the rules it was taken with;
+    /// `renewed` tells it others. Zones, kinds and the origin are the same.
     pub fn limits(&mut self, said: &BTreeMap<String, String>) {
         let house = HouseRules { proxies: self.house.proxies, ..HouseRules::read(said) };
         let before = std::mem::replace(&mut self.house, house);
@@ -290,8 +293,8 @@
     }
 
     /// A cold cache may be sent as much as the mean cache answers, cut by its warmth, and what it answers
-    /// itself, if only that it lacks the key. Guards against pushing it over when far more is asked for than the
-    /// fleet can do.
+    /// itself, if only that it lacks the key. Guards against pushing it over when far more is asked for than
+    /// the fleet can do.
     fn give_credit(&mut self, cache: Cache) {
         let (ready, most) = (self.rings[2].len() as u64 / 128, 1000 + 2 * self.house.cold_floor());
         for i in 0..self.caches.len() {
@@ -391,7 +394,49 @@
         self.house.through && l.order.is_none() && (l.write || !self.kept.iter().any(|k| k.contains(&l.key)))
     }
 
+    /// Where a namespace asks for it, lookups with one key run one at a time, as taken: whether this one waits,
+    /// or is deferred at once as its turn can't come while it is useful.
+    fn waits_its_turn(&mut self, lkp: Lkp, out: &mut dyn Carrier) -> bool {
+        let (l, each) = (&self.lookups[&lkp.0], self.times.under(500).unwrap_or(0));
+        let (key, useful) = (l.key, l.useful_until);
+        if !l.rules.in_order || key == point("", 0) {
+            return false;
+        }
+        let line = self.lines.entry(key).or_default();
+        if line.first.is_none() && line.behind.is_empty() && self.now >= line.rests_until {
+            line.first = Some(lkp);
+        }
+        if line.first == Some(lkp) {
+            return false;
+        }
+        let turn = line.rests_until.max(self.now + each * (line.behind.len() as u64 + 1));
+        if line.behind.len() >= LONGEST_LINE || turn >= useful {
+            self.give_up(lkp, out);
+        } else {
+            line.behind.push(lkp);
+            self.lookups.entry(lkp.0).and_modify(|l| l.waits = true);
+            out.wake(lkp.0, useful - self.now);
+        }
+        true
+    }
+
+    /// The line of a key goes on, once its first is over and the key has rested.
+    fn next_in_line(&mut self, key: u64, out: &mut dyn Carrier) {
+        let line = self.lines.get_mut(&key).filter(|line| line.first.is_none() && !line.behind.is_empty());
+        let Some(line) = line else { return };
+        if self.now < line.rests_until {
+            return out.wake(line.behind[0].0, line.rests_until - self.now);
+        }
+        let next = line.behind.remove(0);
+        line.first = Some(next);
+        self.lookups.entry(next.0).and_modify(|l| l.waits = false);
+        self.place(next, out);
+    }
+
     fn place(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
+        if self.waits_its_turn(lkp, out) {
+            return;
+        }
         let l = &self.lookups[&lkp.0];
         // Guards one class of lookups against another that fills the house.
         if l.shots.is_empty() && l.rules.crowded() {
@@ -557,10 +602,15 @@
             let open = l.shots.iter().enumerate().filter(|(_, s)| s.out);
             open.for_each(|(i, _)| out.withdraw(lkp, i));
         }
-        let key = l.leads.then_some(l.key);
+        let (key, of_line) = (l.leads.then_some(l.key), l.key);
         (l.over, l.leads) = (true, false);
         if !l.out() {
             self.lookups.remove(&lkp.0);
+            if let Some(line) = self.lines.get_mut(&of_line) {
+                line.behind.retain(|other| *other != lkp);
+                line.first = line.first.filter(|first| *first != lkp);
+                self.next_in_line(of_line, out);
+            }
         }
         self.release(key, false, out);
     }
@@ -640,10 +690,12 @@
         let lkp = Lkp(token);
         let Some(l) = self.lookups.get(&token).filter(|l| !l.over && !l.begun) else { return };
         if l.waits {
-            if self.now >= l.useful_until {
-                self.give_up(lkp, out);
-            }
-            return;
+            let key = l.key;
+            return if self.now >= l.useful_until {
+                self.give_up(lkp, out)
+            } else {
+                self.next_in_line(key, out)
+            };
         }
         if l.cut && self.now >= l.expires {
             let open = l.shots.iter().enumerate().filter(|(_, s)| s.out);
@@ -707,8 +759,8 @@
         router.lookups.contains_key(&self.0)
     }
 
-    /// A shot's answer has begun: it is the client's now, and no clock of ours runs for it, nor does the cache
-    /// owe anything for it. What else is out for the lookup is of no use any more.
+    /// A shot's answer has begun: it is the client's now, and no clock of ours runs for it, nor does the
+    /// cache owe anything for it. What else is out for the lookup is of no use any more.
     pub fn answer_begun(self, router: &mut Router, shot: usize, out: &mut dyn Carrier) {
         let (now, withdrawals) = (router.now, router.house.withdrawals);
         let Some(l) = router.lookups.get_mut(&self.0) else { return };
@@ -745,6 +797,11 @@
         let Some(l) = router.lookups.get_mut(&self.0) else { return };
         let Some(s) = l.shots.get_mut(shot).filter(|s| s.out) else { return };
         let not_run = [Ending::Full, Ending::Unreachable, Ending::Unsent, Ending::Miss];
+        // It may still run: the key rests, and only then another lookup's turn comes.
+        let may_run = matches!(ending, Ending::TimedOut | Ending::Broken | Ending::Withdrawn);
+        if let Some(line) = router.lines.get_mut(&l.key).filter(|_| may_run && l.rules.in_order) {
+            line.rests_until = router.now + router.house.key_quiet;
+        }
         s.out = false;
         s.may_have_run = !not_run.contains(&ending);
         // Who alone may serve it may be asked again across a connection that broke.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,7 +1,7 @@
 //! All that a router knows, as numbers and texts: taken out, and put into a router of the same house, it decides as before.
 //! Nothing here decides, and what is worked out from the rest (rings, rules) is not in it.
 
-use crate::plain::{Chance, Held, HouseRules, Known, Lkp, Lookup, Shot, Standing, Tally};
+use crate::plain::{Chance, Held, HouseRules, Known, Line, Lkp, Lookup, Shot, Standing, Tally};
 use crate::policy::Router;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -149,6 +149,7 @@
 }
 
 fields! {
+    Line { first, behind, rests_until }
     Shot { cache, sent, company, out, may_have_run, bad, begun, fresh }
     Known {
         id, zone, cell, standing, barred, born, out, flows, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
@@ -237,6 +238,7 @@
         self.erred.put(&mut to);
         self.times.put(&mut to);
         self.fetches.put(&mut to);
+        self.lines.put(&mut to);
         self.barred.iter().cloned().collect::<Vec<String>>().put(&mut to);
         self.kept.put(&mut to);
         self.house.namespaces.iter().for_each(|rules| rules.purse.counts().put(&mut to));
@@ -262,6 +264,7 @@
         r.erred = Part::get(from)?;
         r.times = Part::get(from)?;
         r.fetches = Part::get(from)?;
+        r.lines = Part::get(from)?;
         r.barred = Vec::<String>::get(from)?.into_iter().collect();
         r.kept = Part::get(from)?;
         for rules in &r.house.namespaces {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -962,3 +962,138 @@
     }
     expect!["[207, 227, 273] of 400 each"].assert_eq(&format!("{asked:?} of 400 each"));
 }
+
+/// Lookups with one key run one at a time where their namespace asks for it, as taken and across namespaces; others are
+/// free. After a shot that may still run the key rests. One whose client left makes no gap, and one whose turn can't come
+/// is deferred at once.
+#[test]
+fn lookups_with_one_key_run_in_turn_where_that_is_asked_for() {
+    let order = [("namespace 1 in order", "1"), ("namespace 2 in order", "1"), ("key quiet", "2000")];
+    let mut h = house(&order);
+    h.ready(&FOUR);
+    let first = h.ask(2, "hot");
+    let second = h.ask(1, "hot");
+    let third = h.ask(2, "hot");
+    h.ask(2, "hot");
+    h.ask(0, "hot"); // asks for no order
+    h.ask(1, "other");
+    h.ask(1, ""); // without a key
+    h.ask(1, "");
+    h.trace.mark("the first has its answer, the third's client leaves");
+    h.end(first, 0, Ending::Resolved);
+    h.left_by_client(third);
+    h.trace.mark("the second times out, and has its last shot");
+    h.pass(2_000);
+    h.end(second, 0, Ending::TimedOut);
+    h.end(second, 1, Ending::Error);
+    h.left_by_client(second);
+    h.pass(5_000);
+    h.wake(3);
+    h.trace.mark("its last shot has ended too");
+    h.end(second, 2, Ending::Withdrawn);
+    h.pass(1_999);
+    h.wake(3);
+    h.trace.mark("the key has rested");
+    h.pass(1);
+    h.wake(3);
+    h.trace.mark("a hundred wait, and two more come");
+    let waiting: Vec<_> = (0..102).map(|_| h.ask(1, "hot")).collect();
+    expect![[r#"
+        lookup 0 -> cache 2
+        lookup 4 -> cache 2
+        lookup 5 -> cache 3
+        lookup 6 -> cache 3
+        lookup 7 -> cache 0
+        --- the first has its answer, the third's client leaves
+        lookup 1 -> cache 2
+        --- the second times out, and has its last shot
+        lookup 1 -> cache 1 by 5000
+        lookup 1 -> cache 3 by 5000
+        lookup 1 withdraws shot 2
+        --- its last shot has ended too
+        --- the key has rested
+        lookup 3 -> cache 1
+        --- a hundred wait, and two more come
+        lookup 108 deferred
+        lookup 109 deferred
+    "#]]
+    .assert_eq(&h.told());
+    // A shot that is out still counts, though its lookup is over.
+    h.left_by_client(chalkwalk_policy::Lkp(3));
+    h.trace.mark("its shot has ended");
+    h.end(chalkwalk_policy::Lkp(3), 0, Ending::Withdrawn);
+    h.pass(2_000);
+    h.wake(waiting[0].0);
+    expect![[r#"
+        lookup 3 withdraws shot 0
+        --- its shot has ended
+        lookup 8 -> cache 1
+    "#]]
+    .assert_eq(&h.told());
+}
+
+/// Whatever happens to them, no two lookups of a key are out at once, none overtakes, and the line ends.
+#[test]
+fn no_order_is_broken_by_what_becomes_of_lookups() {
+    let mut h = house(&[("namespace 1 in order", "1"), ("key quiet", "3000")]);
+    h.ready(&FOUR);
+    let (mut seed, mut out, mut started, mut over) = (11u64, Vec::new(), Vec::new(), 0);
+    let mut keys: Vec<usize> = Vec::new();
+    let mut pick = |n: u64| {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (seed >> 33) % n
+    };
+    let mut wakes: Vec<(u64, u64)> = Vec::new();
+    for step in 0..4000 {
+        if step < 2000 && pick(2) == 0 {
+            let key = pick(2) as usize;
+            let lkp = h.ask(1, ["a", "b"][key]);
+            assert_eq!(lkp.0 as usize, keys.len());
+            keys.push(key);
+            wakes.push((h.now + 10_000, lkp.0));
+        }
+        h.pass(500);
+        let now = h.now;
+        let due: Vec<u64> = wakes.iter().filter(|w| w.0 <= now).map(|w| w.1).collect();
+        wakes.retain(|w| w.0 > now);
+        // Resting lines wake their first; here everyone is woken now and then.
+        due.into_iter().for_each(|token| h.wake(token));
+        (0..h.router.open() as u64).for_each(|_| {
+            if let Some(w) = wakes.first() {
+                h.wake(w.1);
+            }
+        });
+        for line in h.told().lines() {
+            let word = |i: usize| line.split(' ').nth(i).unwrap_or("");
+            let lkp: u64 = word(1).parse().unwrap_or(0);
+            match word(2) {
+                "->" => {
+                    let of_key = |other: &u64| keys[*other as usize] == keys[lkp as usize];
+                    let others_out = out.iter().any(|(other, _)| *other != lkp && of_key(other));
+                    assert!(!others_out, "{lkp} beside another of its key");
+                    assert!(!started.iter().any(|other| of_key(other) && *other > lkp), "{lkp} out of turn");
+                    started.push(lkp);
+                    out.push((lkp, started.iter().filter(|l| **l == lkp).count() - 1));
+                }
+                "deferred" | "abandoned" => over += 1,
+                _ => {}
+            }
+        }
+        if !out.is_empty() && pick(2) == 0 {
+            let (lkp, shot) = out.remove(pick(out.len() as u64) as usize);
+            let endings =
+                [Ending::Resolved, Ending::TimedOut, Ending::Broken, Ending::Error, Ending::Unreachable];
+            h.end(chalkwalk_policy::Lkp(lkp), shot, endings[pick(5) as usize]);
+        }
+    }
+    let distinct = |list: &[u64]| {
+        let mut list = list.to_vec();
+        list.dedup();
+        list
+    };
+    expect!["535 started, 887 turned away, 0 still open"].assert_eq(&format!(
+        "{} started, {over} turned away, {} still open",
+        distinct(&started).len(),
+        h.router.open()
+    ));
+}
--- a/crates/policy/tests/helper/mod.rs
+++ b/crates/policy/tests/helper/mod.rs
@@ -7,6 +7,11 @@
 pub struct Trace(String, pub Tenths); // what was said, and until when the last shot is out
 
 impl Trace {
+    /// A line of the test's own.
+    pub fn mark(&mut self, text: &str) {
+        self.line(format!("--- {text}"));
+    }
+
     fn line(&mut self, text: String) {
         self.0.push_str(&text);
         self.0.push('\n');
