A proxy whose fetches fail may have less than one fetch out

A line for each refusal and ending: from the third second on 270 of 400 shots a second ended in errors on fetches, long before the link began; from 35 s on each proxy stood at fetch_room's floor, one fetch at a time, and 65 of those kept the origin flooded: clamp(100, ..) in fetch_ended(). Ruled out: the link (it was well), the caches' health (0 left at 1 s), admission (fell after the errors). The floor is now one lookup in twenty while none is out. It also guards any origin behind many proxies; it costs a proxy some seconds to find a well origin again. Test: decisions.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -501,7 +501,8 @@
             if fetched.is_some() {
                 self.fetch_room += self.fetch_room * self.held_late / 80_000;
             }
-            self.fetch_room = self.fetch_room.clamp(100, 10_000); // one fetch at a time floods no origin
+            // Down to one lookup in twenty while none is out: one at a time from each of sixty proxies is a flood.
+            self.fetch_room = self.fetch_room.clamp(5, 10_000);
         }
         if ending == Ending::Error {
             // Guards against copies gone void: the key is not kept after all.
