A proxy begins with its share of nine hundred fetches, and a lookup counts as its likely part

Ruled out: caches left (none), links (before the trouble). It now begins at 900 for all that the settings name, thirty at most, as with thirty proxies before. And a lookup was counted as a whole fetch against a room below one: it counts as the part that caches say is fetched.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -87,6 +87,7 @@
 impl Router {
     pub fn new(seed: u64, said: &BTreeMap<String, String>, out: &mut dyn Carrier) -> Router {
         let (house, mut chance) = (HouseRules::read(said), Chance(mixed(seed) | 1));
+        let proxies = house.proxies.max(1);
         if said.get("watched").is_some_and(|w| w == "1") {
             // As all that were killed together start together. Over 3 s: a service that takes a call of each
             // of a fleet in 2 s to 8 s then holds few that wait too long, which are work for nobody.
@@ -96,7 +97,8 @@
             house,
             chance,
             fetch_share: [0, 10_000],
-            fetch_room: 3000,
+            // Thirty where thirty share the origin: where hundreds do, as many together.
+            fetch_room: (90_000 / proxies).clamp(100, 3000),
             admitted: [1000; 2],
             ..Router::default()
         }
@@ -452,7 +454,8 @@
         // Guards the origin behind the caches: when fetches fail or come late, lookups for keys that are not
         // known to be held are deferred.
         let fetching: u64 = (0..2).map(|i| self.fetches_out[i] * self.fetch_share[i] / 100).sum();
-        if self.fresh(l) && fetching + l.luck >= self.fetch_room {
+        // It counts as the part of a fetch that it likely is.
+        if self.fresh(l) && fetching + l.luck * self.fetch_share[1] / 10_000 >= self.fetch_room {
             return self.spare_origin(lkp, out);
         }
         let first = match mixed(l.key) / 1000 {
