--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -130,8 +130,8 @@
         }
     }
 
-    /// Other limits hold from now on, and budgets go on counting. What is open keeps the rules that it has, until
-    /// `renewed` tells it others. Zones, kinds and the origin are the same.
+    /// Other limits hold from now on, and budgets go on counting. What is open keeps the rules that it has,
+    /// until `renewed` tells it others. Zones, kinds and the origin are the same.
     pub fn limits(&mut self, said: &BTreeMap<String, String>) {
         let house = HouseRules { proxies: self.house.proxies, ..HouseRules::read(said) };
         let before = std::mem::replace(&mut self.house, house);
@@ -396,8 +396,8 @@
         self.house.through && l.order.is_none() && (l.write || !self.kept.iter().any(|k| k.contains(&l.key)))
     }
 
-    /// Where a namespace asks for it, lookups with one key run one at a time, as taken: whether this one waits
-    /// or is deferred at once, as its turn can't come while it is useful.
+    /// Where a namespace asks for it, lookups with one key run one at a time, as taken: whether this one
+    /// waits or is deferred at once, as its turn can't come while it is useful.
     fn waits_its_turn(&mut self, lkp: Lkp, out: &mut dyn Carrier) -> bool {
         let (l, each) = (&self.lookups[&lkp.0], self.times.under(500).unwrap_or(0));
         let (key, useful) = (l.key, l.useful_until);
