The operators' door has descriptors of its own, and a caller that stays holds a place 0.3 s

Need: its listener and callers were outside the budget, so that lookups could have taken their descriptors, and a caller that did not close held one of sixteen places for a second after its answer. Found by reading; eight callers, ten descriptors and the inherited socket now come off what lookups have.

--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -19,9 +19,13 @@
 
 /// How many callers are heard at once; one more, and whoever has been silent longest makes way. Staff and their tools make
 /// a few calls a second, each over within milliseconds.
-pub const CALLERS: usize = 16;
-/// From the accept to the whole call, and again from its answer's first byte to the end of the connection.
+pub const CALLERS: usize = 8;
+/// What this door may hold: its listener, its callers, and one that waits for another to make way.
+pub const DESCRIPTORS: usize = CALLERS + 2;
+/// From the accept to the whole call.
 const SLOWEST: Duration = Duration::from_secs(1);
+/// For the answer, and what the caller still sends: many round trips, and no caller's place is held for long by one that stays.
+const LINGER: Duration = Duration::from_millis(300);
 /// After an accept that failed.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -91,7 +95,7 @@
                         let (status, words) =
                             said.map_or_else(|status| (status, ""), |call| answer(&*controls, &call));
                         let told = tell(&stream, status, words);
-                        within(SLOWEST, told).await;
+                        within(LINGER, told).await;
                     }
                     drop(stream);
                     _ = done.try_send(());
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::sources::List;
 use async_signal::{Signal, Signals};
 use chalkwalk_capture::{Keep, Tape, Writer};
+use chalkwalk_console as console;
 use chalkwalk_core::answer::Probe;
 use chalkwalk_core::core::Core;
 use chalkwalk_core::life::Phase;
@@ -33,18 +34,21 @@
     (listener, handed): (TcpListener, bool),
 ) -> Result<(), String> {
     let Read { rules, membership, resp, capture } = read;
-    let HouseRules { listen, console, list, known, namespaces, core: rules, shape } = rules;
+    let HouseRules { listen, console, list, known, namespaces, core: mut rules, shape } = rules;
+    // Places that no lookup can take.
+    let own = if console.is_some() { console::DESCRIPTORS } else { 0 } + usize::from(handed);
+    rules.descriptors = rules.descriptors.saturating_sub(own);
     let listener = Async::new(listener).map_err(|e| format!("cannot listen: {e}"))?;
     let resp_listener = resp.as_ref().map(|r| {
         let bound = TcpListener::bind(r.listen);
         bound.and_then(Async::new).map_err(|e| format!("cannot listen on {}: {e}", r.listen))
     });
     let resp_listener = resp_listener.transpose()?;
-    let console = console.map(|at| {
+    let console_listener = console.map(|at| {
         let bound = TcpListener::bind(at).and_then(Async::new);
         bound.map_err(|e| format!("cannot listen on {at}: {e}"))
     });
-    let console = console.transpose()?;
+    let console_listener = console_listener.transpose()?;
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
     let mut signals = signals.map_err(|e| format!("cannot hear signals: {e}"))?;
     // Caches speak one protocol, by which they are probed.
@@ -79,7 +83,7 @@
         let namespaces = if resp.is_some() { Vec::new() } else { namespaces };
         let door = http::Door::new(core.clone(), namespaces);
         let feed = list.as_ref().and_then(List::feed);
-        let operators = console.map(|listener| Operators::start(&core, listener));
+        let operators = console_listener.map(|listener| Operators::start(&core, listener));
         let accepting =
             core.ex.spawn(open_doors(core.clone(), door.clone(), listener, feed, (handed, listen)));
         loop {
