One table of status words, and ids are decoded by a library

Need: the operators' door had its own copy of the words beside a status, and its own reading of %XX, which took '+f' for a number. Test: operators.

--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -6,6 +6,7 @@
 
 use chalkwalk_http1 as http1;
 use chalkwalk_net::{Room, more, wait_until, within, write_all};
+use percent_encoding::percent_decode_str;
 use smol::channel::{Sender, bounded};
 use smol::future::FutureExt;
 use smol::{Async, Timer};
@@ -20,8 +21,8 @@
 /// How many callers are heard at once; one more, and whoever has been silent longest makes way. Staff and their tools make
 /// a few calls a second, each over within milliseconds.
 pub const CALLERS: usize = 8;
-/// What this door may hold: its listener, its callers, and one that waits for another to make way.
-pub const DESCRIPTORS: usize = CALLERS + 2;
+/// What this door may hold: its listener and its callers; one more waits in the listener's queue.
+pub const DESCRIPTORS: usize = CALLERS + 1;
 /// From the accept to the whole call.
 const SLOWEST: Duration = Duration::from_secs(1);
 /// For the answer, and what the caller still sends: many round trips, and no caller's place is held for long by one that stays.
@@ -119,22 +120,6 @@
     Ok((message.word(&message.method).to_string(), message.word(&message.target).to_string()))
 }
 
-/// An id as it stands in a path: letters, digits and other plain signs, or %XX.
-fn id(part: &str) -> Option<String> {
-    let mut bytes = part.bytes();
-    let mut out = Vec::new();
-    while let Some(b) = bytes.next() {
-        out.push(match b {
-            b'%' => {
-                let hex = [bytes.next()?, bytes.next()?];
-                u8::from_str_radix(std::str::from_utf8(&hex).ok()?, 16).ok()?
-            }
-            b => b,
-        });
-    }
-    String::from_utf8(out).ok().filter(|id| !id.is_empty())
-}
-
 fn answer(controls: &dyn Controls, (method, target): &(String, String)) -> (u16, &'static str) {
     let path = target.split('?').next().unwrap_or("");
     let parts: Vec<&str> = path.strip_prefix("/control/").unwrap_or("").split('/').collect();
@@ -143,7 +128,8 @@
         ["out-of-service"] => ("POST", Box::new(|| controls.service(true))),
         ["in-service"] => ("POST", Box::new(|| controls.service(false))),
         ["cache-nodes", part, word @ ("offline" | "online")] => {
-            let Some(id) = id(part) else { return (400, "an id that makes no sense\n") };
+            let id = percent_decode_str(part).decode_utf8().ok().filter(|id| !id.is_empty());
+            let Some(id) = id else { return (400, "an id that makes no sense\n") };
             ("POST", Box::new(move || controls.cache(&id, word == "offline")))
         }
         _ => return (404, "no such call\n"),
@@ -159,26 +145,12 @@
     }
 }
 
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
-        503 => "Service Unavailable",
-        _ => "Internal Server Error",
-    }
-}
-
 /// The answer, and the connection's end: what the caller still sends is read and dropped, or the answer would be lost to a
 /// reset.
 async fn tell(stream: &Async<TcpStream>, status: u16, words: &str) {
     let head = format!(
         "HTTP/1.1 {status} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{words}",
-        reason(status),
+        http1::reason(status),
         words.len()
     );
     if write_all(stream, &[head.as_bytes()]).await.is_err() {
--- a/crates/http-door/src/relay.rs
+++ b/crates/http-door/src/relay.rs
@@ -2,6 +2,7 @@
 
 use crate::caches::seconds;
 use chalkwalk_core::answer::{Answer, Flow, Verdict};
+use chalkwalk_http1::reason;
 use chalkwalk_net::{Held, more, within, write_all};
 use chalkwalk_policy::Tenths;
 use smol::Async;
@@ -46,21 +47,6 @@
 /// client that reads 64 kB a second takes several parts.
 const SLOWEST: Duration = Duration::from_secs(2);
 
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        409 => "Conflict",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
-        503 => "Service Unavailable",
-        _ => "Internal Server Error",
-    }
-}
-
 fn head(answer: &Reply, length: Option<u64>, close: bool) -> String {
     let mut head = format!("HTTP/1.1 {} {}\r\n", answer.status, reason(answer.status));
     if let Some(length) = length {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -295,6 +295,22 @@
     Ok(answer)
 }
 
+/// The words beside a status, for those that are answered here.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        _ => "Internal Server Error",
+    }
+}
+
 /// Asks for something and takes the answer.
 pub async fn get(
     stream: &Async<TcpStream>,
