Reread: a successor that is gone, a drain that ends, lent places, waits for room

Budget::take and the lending closed idle clients for places that clients did not hold. - http1::message counted the wait for room against the client's pace, a 408 after two seconds of it. - A page longer than is read is not written, so the number of caches out is bounded: the call is answered 500. - answer_begun had no test in the module. Life's phases and turns are one event; the first list is waited for in one place.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -36,7 +36,7 @@
     idle: RefCell<BTreeMap<Turn, (Instant, Sender<()>)>>,
     next: Cell<u64>,
     most_idle: usize,
-    half: [usize; 3], // of out, clients and both
+    half: [usize; 3], // of out, of those and clients, and of all three
 }
 
 impl Budget {
@@ -56,27 +56,28 @@
             idle: RefCell::default(),
             next: Cell::new(0),
             most_idle: all / 6,
-            half: [out / 2, clients / 2, both / 2],
+            half: [out / 2, out / 2 + clients / 2, out / 2 + clients / 2 + both / 2],
         }
     }
 
-    /// Takes half of all places as they become free, into `lent`: they are another process's of this proxy, as the two may
-    /// hold no more than one.
-    pub async fn lend_half(&self, lent: &RefCell<Vec<Permit>>) {
+    /// Takes half of all places as they become free: they are another process's of this proxy, as the two may hold no more
+    /// than one. `make_room` closes an idle connection to a cache.
+    pub async fn half(&self, make_room: impl Fn()) -> Vec<Permit> {
+        let mut places = Vec::new();
         for (of, half) in [&self.out, &self.clients, &self.both].into_iter().zip(self.half) {
-            for _ in 0..half {
-                let place = loop {
-                    if let Some(place) = of.try_acquire_arc() {
-                        break place;
-                    }
-                    self.close_idle();
-                    if let Some(place) = within(MAKE_ROOM, of.acquire_arc()).await {
-                        break place;
-                    }
-                };
-                lent.borrow_mut().push(place);
+            while places.len() < half {
+                places.extend(of.try_acquire_arc());
+                if places.len() < half {
+                    if Arc::ptr_eq(of, &self.out) {
+                        make_room()
+                    } else {
+                        _ = self.close_idle()
+                    };
+                    places.extend(within(MAKE_ROOM, of.acquire_arc()).await);
+                }
             }
         }
+        places
     }
 
     /// Waits for a place for a connection to a cache; `make_room` closes one that is idle.
@@ -86,7 +87,10 @@
                 return place;
             }
             make_room();
-            self.close_idle();
+            // Clients beyond their own places may have it; while they have some left, none that is idle is in the way.
+            if self.clients.try_acquire_arc().is_none() {
+                self.close_idle();
+            }
             if let Some(place) = self.soon(&self.out).await {
                 return place;
             }
@@ -177,12 +181,26 @@
     #[test]
     fn places_are_for_either_side_as_they_come_and_half_of_them_another_processs() {
         let budget = Budget::new(192);
-        let lent = RefCell::default();
         let alone = places(&budget);
-        smol::block_on(budget.lend_half(&lent));
+        let lent = smol::block_on(budget.half(|| ()));
         let together = places(&budget);
-        lent.borrow_mut().clear();
+        drop(lent);
         expect_test::expect!["(59, 107) (30, 54) (59, 107)"]
             .assert_eq(&format!("{alone:?} {together:?} {:?}", places(&budget)));
     }
+
+    /// While clients have places of their own left, none that is idle is closed for a shot that waits.
+    #[test]
+    fn a_shot_that_waits_closes_no_client_that_is_not_in_its_way() {
+        let budget = Budget::new(192);
+        let (close, closed) = smol::channel::bounded(1);
+        budget.idles(close, false);
+        let mut held: Vec<Permit> =
+            (0..118).filter_map(|_| smol::block_on(within(MAKE_ROOM, budget.take(|| ())))).collect();
+        let waits = || smol::block_on(within(MAKE_ROOM * 3, budget.take(|| ()))).is_none();
+        let before = (waits(), closed.is_empty());
+        held.extend(std::iter::from_fn(|| budget.clients.try_acquire_arc()));
+        expect_test::expect!["(true, true) (true, false)"]
+            .assert_eq(&format!("{before:?} {:?}", (waits(), closed.is_empty())));
+    }
 }
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -139,14 +139,19 @@
     /// connects again comes to that one, and a connection that is told to close meets no lookup.
     ///
     /// Out of service, with answers within the first second, and idle within two: the front has heard of it by then, and at
-    /// four seconds none may be open that had a lookup in the last two.
+    /// four seconds none may be open that had a lookup in the last two. Told to end as well, whichever comes first.
     fn turn(&self) -> Option<(Tenths, Tenths)> {
         let life = &self.core.life;
-        if let Some((told, last)) = self.core.leaving.get() {
+        let leaving = self.core.leaving.get().map(|(told, last)| {
             let late = told + (last - told) * (4000 + self.place) / 6000;
-            return Some((if life.succeeded() { told + 10 * self.place } else { late }, late));
+            (if life.succeeded() { told + 10 * self.place } else { late }, late)
+        });
+        let emptied =
+            life.out_since().map(|since| (since + 2000 + 8 * self.place, since + 10_000 + 8 * self.place));
+        match (leaving, emptied) {
+            (Some(a), Some(b)) => Some((a.0.min(b.0), a.1.min(b.1))),
+            (a, b) => a.or(b),
         }
-        life.out_since().map(|since| (since + 2000 + 8 * self.place, since + 10_000 + 8 * self.place))
     }
 
     pub fn turn_is_over(&self) -> bool {
--- a/crates/core/src/life.rs
+++ b/crates/core/src/life.rs
@@ -2,8 +2,7 @@
 
 use chalkwalk_policy::Tenths;
 use event_listener::Event;
-use smol::channel::{Receiver, Sender, bounded};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -19,7 +18,6 @@
 
 pub struct Life {
     phase: Cell<Phase>,
-    told: RefCell<Vec<(Phase, Sender<()>)>>,
     out_since: Cell<Option<Tenths>>, // operators have emptied the proxy
     succeeded: Cell<bool>,           // another process of this proxy has taken over
     turned: Event,
@@ -29,7 +27,6 @@
     fn default() -> Life {
         Life {
             phase: Cell::new(Phase::Starting),
-            told: RefCell::default(),
             out_since: Cell::new(None),
             succeeded: Cell::new(false),
             turned: Event::new(),
@@ -41,26 +38,19 @@
     pub fn enter(&self, phase: Phase) {
         if phase > self.phase.get() {
             self.phase.set(phase);
-            // A dropped sender wakes the one that waits.
-            self.told.borrow_mut().retain(|(awaited, _)| *awaited > phase);
             self.turned.notify(usize::MAX);
         }
     }
 
     /// Comes to its end when the phase is reached.
     pub async fn reached(&self, phase: Phase) {
-        if self.phase.get() >= phase {
-            return;
+        loop {
+            let turns = self.turns();
+            if self.phase.get() >= phase {
+                return;
+            }
+            turns.await;
         }
-        let (tell, told): (Sender<()>, Receiver<()>) = bounded(1);
-        self.tell_at(phase, tell);
-        _ = told.recv().await;
-    }
-
-    fn tell_at(&self, phase: Phase, tell: Sender<()>) {
-        let mut told = self.told.borrow_mut();
-        told.retain(|(_, other)| !other.is_closed());
-        told.push((phase, tell));
     }
 
     /// What `/up` says. Where another process has taken over, the proxy is up though this process ends.
@@ -86,15 +76,18 @@
         self.out_since.get()
     }
 
-    pub fn succeed(&self) {
-        self.succeeded.set(true);
+    /// Another process of this proxy has taken over, or is gone again.
+    pub fn succeed(&self, succeeded: bool) {
+        if self.succeeded.replace(succeeded) != succeeded {
+            self.turned.notify(usize::MAX);
+        }
     }
 
     pub fn succeeded(&self) -> bool {
         self.succeeded.get()
     }
 
-    /// Comes to its end when a phase is entered, or the proxy put out of service or back, after this call.
+    /// Comes to its end when any of this changes after this call.
     pub fn turns(&self) -> impl Future<Output = ()> + use<> {
         self.turned.listen()
     }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -239,7 +239,7 @@
     if waits && question.is_some() && rest.is_empty() {
         write_all(stream, &[b"HTTP/1.1 100 Continue\r\n\r\n"]).await.map_err(|_| broken)?;
     }
-    let (begun, mut body, mut room) = (Instant::now(), Body::new(form), LONGEST_BODY);
+    let (mut begun, mut body, mut room) = (Instant::now(), Body::new(form), LONGEST_BODY);
     loop {
         let part = body.take(rest)?;
         message.buf.extend_from_slice(&part);
@@ -264,8 +264,10 @@
         };
         if form == Form::Chunked && taken > room {
             // Twice what is there, as a buffer grows by doubling.
+            let asked = Instant::now();
             message.held.push(room_for(taking.room, 2 * room).await?);
             room *= 2;
+            begun += asked.elapsed(); // the client wasn't slow meanwhile
         }
         let (grace, pace) = SLOWEST_BODY;
         let due = begun + grace + Duration::from_millis(1000 * taken as u64 / pace);
@@ -324,3 +326,37 @@
     write_all(stream, &parts).await.map_err(|e| format!("not written: {e}"))?;
     answer(stream, longest).await.map_err(|_| "a broken answer".to_string())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    /// A body that waited for room for longer than a slow client may take is taken all the same.
+    #[test]
+    fn waiting_for_room_is_no_slowness_of_the_client() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let stream = Async::new(listener.accept().unwrap().0).unwrap();
+        let (room, mut rest) = (Room::new(1 << 20), Vec::new());
+        let taken = room.take(1 << 20, usize::MAX);
+        let writing = std::thread::spawn(move || {
+            let chunk = format!("10000\r\n{}\r\n", "v".repeat(1 << 16));
+            let head = "PUT /k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+            client.write_all(format!("{head}{chunk}1\r\nv\r\n").as_bytes()).unwrap();
+            std::thread::sleep(SLOWEST_BODY.0 * 5 / 2 + Duration::from_millis(200));
+            client.write_all(format!("{chunk}0\r\n\r\n").as_bytes()).unwrap();
+            client
+        });
+        let taking = Taking { head_by: Instant::now() + ROOM, longest: LONGEST_OF_ALL, room: &room };
+        let freed = async {
+            Timer::after(SLOWEST_BODY.0 * 5 / 2).await;
+            drop(taken);
+        };
+        let both = smol::future::zip(question(&stream, &mut rest, taking), freed);
+        let length = smol::block_on(both).0.map(|message| message.body.len());
+        assert_eq!(length, Ok(2 * 65_536 + 1));
+        drop(writing.join());
+    }
+}
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -1129,3 +1129,37 @@
     });
     expect!["[30, 3] of 60"].assert_eq(&format!("{sent:?} of 60"));
 }
+
+/// Once a shot's answer has begun the lookup's others are withdrawn, and whatever becomes of them nothing more is sent for
+/// it; its cache owes nothing for it, however long it goes on.
+#[test]
+fn an_answer_that_has_begun_is_the_only_one() {
+    let mut h = house(&[("origin kind", "9")]);
+    h.list(&[
+        ("amber", 0, Standing::Ready, 0),
+        ("birch", 0, Standing::Ready, 0),
+        ("origin", 0, Standing::Ready, 0),
+    ]);
+    let lkp = h.ask(0, "book");
+    h.pass(2_500);
+    h.wake(lkp.0); // silent for so long: a second copy
+    h.trace.mark("the first begins");
+    lkp.answer_begun(&mut h.router, 0, &mut h.trace);
+    lkp.shot_ended(&mut h.router, 1, Ending::Miss, 100, true, &mut h.trace);
+    h.pass(20_000);
+    h.wake(lkp.0);
+    h.trace.mark("another of its key, past any silence");
+    let other = h.ask(0, "book");
+    h.end(other, 0, Ending::Resolved);
+    lkp.shot_ended(&mut h.router, 0, Ending::Broken, 100, true, &mut h.trace);
+    expect![[r#"
+        lookup 0 -> cache 1
+        lookup 0 -> cache 0
+        --- the first begins
+        lookup 0 withdraws shot 1
+        --- another of its key, past any silence
+        lookup 1 -> cache 1
+    "#]]
+    .assert_eq(&h.told());
+    assert!(!lkp.known(&h.router));
+}
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -2,12 +2,11 @@
 
 use crate::pages::Pages;
 use chalkwalk_console::{self as console, Controls, Done};
-use chalkwalk_core::budget::Permit;
 use chalkwalk_core::core::Core;
 use chalkwalk_core::flow;
 use chalkwalk_handover::{Page, Tenths};
 use slog::{info, warn};
-use smol::{Async, Timer};
+use smol::{Async, Task, Timer};
 use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -20,8 +19,8 @@
 pub struct Operators {
     core: Rc<Core>,
     pages: RefCell<Pages>,
-    /// Places that are another process's while there is one, once some are.
-    lent: RefCell<Option<Rc<RefCell<Vec<Permit>>>>>,
+    /// Holds the places that are another process's, while there is one.
+    lent: RefCell<Option<Task<()>>>,
 }
 
 impl Operators {
@@ -61,9 +60,7 @@
     pub fn read(&self) {
         let (now, core) = (self.core.clock.now(), &self.core);
         let news = self.pages.borrow_mut().read(now, &core.log);
-        if news.succeeded {
-            core.life.succeed();
-        }
+        core.life.succeed(news.succeeded);
         self.share(news.company);
         for id in news.caches {
             let word = self.pages.borrow().own.word(&id);
@@ -79,13 +76,13 @@
     fn share(&self, company: bool) {
         let mut lent = self.lent.borrow_mut();
         if company && lent.is_none() {
-            let places = Rc::<RefCell<Vec<Permit>>>::default();
-            *lent = Some(places.clone());
             let core = self.core.clone();
-            let lending = async move { core.budget.lend_half(&places).await };
-            self.core.ex.spawn(lending).detach();
-        } else if !company && let Some(places) = lent.take() {
-            places.borrow_mut().clear();
+            *lent = Some(self.core.ex.spawn(async move {
+                let _places = core.budget.half(|| core.pool.close_longest_idle()).await;
+                std::future::pending().await
+            }));
+        } else if !company {
+            *lent = None;
         }
     }
 
@@ -97,9 +94,7 @@
         }
         written.is_ok()
     }
-}
 
-impl Operators {
     /// Keeps what an operator says where the other processes find it; where that fails it is not said.
     fn keep(&self, say: impl FnOnce(&mut Page, Tenths)) -> bool {
         let before = self.pages.borrow().own.clone();
--- a/crates/proxy/src/pages.rs
+++ b/crates/proxy/src/pages.rs
@@ -44,8 +44,11 @@
     pub fn write(&mut self, now: Tenths) -> io::Result<()> {
         let Some(folder) = &self.folder else { return Ok(()) };
         self.own.tidy(now);
-        let new = self.file(folder, "new");
-        fs::write(&new, self.own.written())?;
+        let (new, text) = (self.file(folder, "new"), self.own.written());
+        if text.len() > LONGEST {
+            return Err(io::Error::other("more caches out than are kept"));
+        }
+        fs::write(&new, text)?;
         fs::rename(new, self.file(folder, ENDING))
     }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -8,7 +8,6 @@
 use chalkwalk_console as console;
 use chalkwalk_core::answer::Probe;
 use chalkwalk_core::core::Core;
-use chalkwalk_core::life::Phase;
 use chalkwalk_core::{drain, flow};
 use chalkwalk_http_door as http;
 use chalkwalk_operator::{Capture, Membership, Resp};
@@ -20,11 +19,7 @@
 use smol::{Async, Timer};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// A new process waits for the list for so long: the platform gives it 6 s to be ready, and the old one serves meanwhile.
-const LIST_HEARD: Duration = Duration::from_secs(4);
-const LOOK: Duration = Duration::from_millis(10);
+use std::time::Duration;
 
 /// Serves until it is told to end. `handed`: the listener is the platform's, and other processes of this proxy have it too.
 pub fn run(
@@ -117,17 +112,7 @@
     (handed, listen): (bool, SocketAddr),
 ) {
     let serves = async {
-        match feed {
-            Some(feed) => List::serve(core.clone(), feed).await,
-            None if handed => {
-                let end = Instant::now() + LIST_HEARD;
-                while !core.has_heard_list() && Instant::now() < end {
-                    Timer::after(LOOK).await;
-                }
-                core.life.enter(Phase::Serving);
-            }
-            None => core.life.enter(Phase::Serving),
-        }
+        List::serve(&core, feed, handed).await;
         info!(core.log, "serving"; "listen" => %listen);
     };
     if handed {
--- a/crates/proxy/src/sources.rs
+++ b/crates/proxy/src/sources.rs
@@ -15,6 +15,8 @@
 
 /// A proxy that has no list yet is not to be used, but not for longer: clients are better told to return than not at all.
 const FIRST_LIST: Duration = Duration::from_secs(5);
+/// A new process waits for the list for so long: the platform gives it 6 s to be ready, and the old one serves meanwhile.
+const LIST_HEARD: Duration = Duration::from_secs(4);
 const LOOK: Duration = Duration::from_millis(10);
 
 pub enum List {
@@ -64,10 +66,15 @@
         }
     }
 
-    /// To be used once there is a list, or where it does not come in time.
-    pub async fn serve(core: Rc<Core>, feed: Rc<Feed>) {
-        let end = Instant::now() + FIRST_LIST;
-        while feed.lines().is_empty() && Instant::now() < end {
+    /// To be used once there is a list, or where it does not come in time: from a feed the first, and where another process
+    /// serves meanwhile, the platform's word on what it was given.
+    pub async fn serve(core: &Core, feed: Option<Rc<Feed>>, handed: bool) {
+        let end = Instant::now() + if feed.is_some() { FIRST_LIST } else { LIST_HEARD };
+        let there = || match &feed {
+            Some(feed) => !feed.lines().is_empty(),
+            None => !handed || core.has_heard_list(),
+        };
+        while !there() && Instant::now() < end {
             Timer::after(LOOK).await;
         }
         core.life.enter(Phase::Serving);
--- a/crates/proxy/tests/large.rs
+++ b/crates/proxy/tests/sockets/large.rs
@@ -1,14 +1,7 @@
 //! Long bodies, both ways, and slow clients: each test prints what was seen of them.
 
-mod day;
-
-use day::*;
-use expect_test::expect;
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use super::*;
 use std::sync::OnceLock;
-use std::thread::sleep;
-use std::time::Duration;
 
 const LONG: usize = 300_000;
 
--- a/crates/proxy/tests/operators.rs
+++ b/crates/proxy/tests/sockets/operators.rs
@@ -1,17 +1,8 @@
 //! What operators do to a running proxy: each test prints what they, clients and stand-ins saw.
 
-mod day;
-
-use day::*;
-use expect_test::expect;
-use serde_json::{Value, json};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use super::*;
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::thread::sleep;
-use std::time::Duration;
 
 /// A proxy whose clients' listener is held by the test, as the platform holds it.
 struct Held {
@@ -53,7 +44,9 @@
     }
 
     fn connect(&self) -> TcpStream {
-        TcpStream::connect(self.listener.local_addr().unwrap()).unwrap()
+        let stream = TcpStream::connect(self.listener.local_addr().unwrap()).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        stream
     }
 }
 
@@ -137,6 +130,39 @@
     .assert_eq(&seen.join("\n"));
 }
 
+/// A successor that is gone again has taken nothing over: the old process, told to end, still takes who comes.
+#[test]
+fn a_successor_that_is_gone_again_leaves_the_old_process_as_it_was() {
+    let (_told, lines) = caches(&["amber"]);
+    let held = Held::new("gone", &lines);
+    let old = held.start();
+    old.wait_ready();
+    let new = held.start();
+    new.wait_ready();
+    sleep(Duration::from_millis(300)); // the old one has read of it
+    drop(new);
+    old.signal("-TERM");
+    sleep(Duration::from_millis(100));
+    expect!["200"].assert_eq(&ask(&mut held.connect(), "k"));
+}
+
+/// Emptied and then told to end, idle connections are closed by whichever comes first.
+#[test]
+fn an_emptied_proxy_that_is_told_to_end_holds_no_connection_longer() {
+    let (_told, lines) = caches(&["amber"]);
+    let held = Held::new("both", &lines);
+    let process = held.start();
+    process.wait_ready();
+    let mut idle = held.connect();
+    ask(&mut idle, "k");
+    process.call("POST", "/control/out-of-service");
+    let emptied = Instant::now();
+    sleep(Duration::from_millis(900));
+    process.signal("-TERM");
+    let closed = message(&mut idle).is_none();
+    expect!["true true"].assert_eq(&format!("{closed} {}", emptied.elapsed() < Duration::from_millis(2200)));
+}
+
 /// Calls that are none get their own no, and the silent ones make way.
 #[test]
 fn the_operators_door_says_no_to_what_is_no_call() {
