Who is out by operators' word is kept once, in the module

Need: the ids stood in the module, a flag beside each cache and a second table with times in the core's members, three copies that had parted once already (a cache back at another place). The module's table has the times, `ready` and the shots that wait ask it. Tests: decisions and operators as before, which both fail without `ready`'s word.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -363,7 +363,12 @@
         let (router, desk) = self.at(now);
         desk.told(|| Told::Barred { id: id.into(), out, at });
         router.bar(id, out, at);
-        self.members.bar(id, out.then_some(at))
+        self.members.place(id)
+    }
+
+    /// Since when a cache gets nothing new: draining or gone, as told, or left out by operators.
+    pub fn off_since(&self, cache: Cache) -> Option<Tenths> {
+        self.members.off_since(cache).into_iter().chain(self.router.barred_since(cache)).min()
     }
 
     /// Whether operators may mean a cache by this.
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -238,7 +238,7 @@
 
 /// Whether a shot may still be written to the cache: never to one that was told to be off past the grace.
 fn open_to(core: &Core, cache: Cache) -> bool {
-    let off = core.book.borrow().members.off_since(cache);
+    let off = core.book.borrow().off_since(cache);
     // Nine tenths of the grace: the write itself takes time.
     off.is_none_or(|since| core.clock.now() < since + core.rules.drain_grace.get() * 9 / 10)
 }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -2,14 +2,13 @@
 
 pub use chalkwalk_membership::Line;
 use chalkwalk_policy::{Cache, Entry, Router, Standing, Tenths};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 /// What the core itself needs of a cache.
 struct Row {
     addr: SocketAddr,
-    off_since: Option<Tenths>,    // draining or gone, as told
-    barred_since: Option<Tenths>, // by operators
+    off_since: Option<Tenths>, // draining or gone, as told
     born: Tenths,
 }
 
@@ -20,7 +19,6 @@
     free: Vec<Cache>, // below the number of rows, and no cache's
     zones: Vec<String>,
     kinds: Vec<String>,
-    barred: BTreeMap<String, Tenths>, // by id, listed or not: since when
 }
 
 impl Members {
@@ -39,21 +37,14 @@
         addrs.iter().filter_map(at).collect()
     }
 
-    /// Since when a cache is draining or gone, as told, or left out by operators.
+    /// Since when a cache is draining or gone, as told.
     pub fn off_since(&self, cache: Cache) -> Option<Tenths> {
-        let row = self.rows.get(cache)?;
-        row.off_since.into_iter().chain(row.barred_since).min()
+        self.rows.get(cache).and_then(|row| row.off_since)
     }
 
-    /// Operators leave a cache out since then, or no longer; its place, if it has one.
-    pub fn bar(&mut self, id: &str, since: Option<Tenths>) -> Option<Cache> {
-        match since {
-            Some(since) => _ = self.barred.entry(id.to_string()).or_insert(since),
-            None => _ = self.barred.remove(id),
-        }
-        let cache = *self.index.get(id)?;
-        self.rows[cache].barred_since = self.barred.get(id).copied();
-        Some(cache)
+    /// The place of a cache, if it has one.
+    pub fn place(&self, id: &str) -> Option<Cache> {
+        self.index.get(id).copied()
     }
 
     /// Caches that are off.
@@ -111,7 +102,7 @@
         }
         let cache = self.free.pop().unwrap_or(self.rows.len());
         self.index.insert(id.to_string(), cache);
-        let row = Row { addr, off_since: None, barred_since: self.barred.get(id).copied(), born: 0 };
+        let row = Row { addr, off_since: None, born: 0 };
         match self.rows.get_mut(cache) {
             Some(place) => *place = row,
             None => self.rows.push(row),
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -220,7 +220,6 @@
     pub zone: usize,
     pub cell: u64,
     pub standing: Standing,
-    pub barred: bool, // by operators
     pub born: Tenths,
     pub out: u64,           // own shots in flight
     pub flows: u64,         // of these, whose answers have begun
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -8,7 +8,7 @@
 
 use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Line, Lkp, Lookup};
 use crate::plain::{Shot, Standing, Tally, Tenths, mixed, point};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 const SECOND: Tenths = 10_000;
 const CACHE_TOKEN: u64 = 1 << 61; // wakes below this are lookups, from here on caches
@@ -81,7 +81,7 @@
     pub(crate) kept: [HashSet<u64>; 2], // keys resolved lately, and before that
     pub(crate) faded: Tenths,
     pub(crate) watch_fails: u32,
-    pub(crate) barred: BTreeSet<String>, // ids of caches that operators took out, listed or not
+    pub(crate) barred: BTreeMap<String, Tenths>, // ids that operators took out, listed or not: since when
 }
 
 impl Router {
@@ -181,7 +181,6 @@
             }
             // Never back: one that operators put back has started since, though no list knows it yet.
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born.max(c.born));
-            c.barred = self.barred.contains(e.id);
             if Some(e.kind) == self.house.origin_kind {
                 self.origin = Some(e.cache);
             }
@@ -192,22 +191,23 @@
     /// Operators take a cache out at that moment, whatever any list says, or put it back. It is restarted in
     /// between: back, it is as cold as one that started then, and what was held against it is void.
     pub fn bar(&mut self, id: &str, out: bool, at: Tenths) {
-        _ = if out { self.barred.insert(id.to_string()) } else { self.barred.remove(id) };
+        _ = if out { Some(*self.barred.entry(id.into()).or_insert(at)) } else { self.barred.remove(id) };
         let by_chance = self.house.cold_floor() + self.chance.below(1000);
-        // All places that have the name: one that left the list and came back may be at another.
-        for c in self.caches.iter_mut().filter(|c| c.id == id) {
-            c.barred = out;
-            if !out && at > c.born {
-                (c.born, c.credit, c.doubt, c.left, c.stay) = (at, by_chance, 0, false, 0);
-            }
+        for c in self.caches.iter_mut().filter(|c| !out && c.id == id && at > c.born) {
+            (c.born, c.credit, c.doubt, c.left, c.stay) = (at, by_chance, 0, false, 0);
         }
         self.rings();
     }
 
+    /// Since when operators have a cache out, if they do.
+    pub fn barred_since(&self, cache: Cache) -> Option<Tenths> {
+        self.caches.get(cache).and_then(|c| self.barred.get(&c.id).copied())
+    }
+
     /// Whether operators may mean this cache: it is listed, or was taken out. The origin is none.
     pub fn has(&self, id: &str) -> bool {
         let listed = |i: usize| Some(i) != self.origin && self.caches[i].standing != Standing::Gone;
-        self.barred.contains(id) || (0..self.caches.len()).any(|i| self.caches[i].id == id && listed(i))
+        self.barred.contains_key(id) || (0..self.caches.len()).any(|i| self.caches[i].id == id && listed(i))
     }
 
     /// 128 points a cache, as the design has it, from the id alone: all proxies build one ring.
@@ -256,7 +256,7 @@
 
     fn ready(&self, cache: Cache) -> bool {
         let c = &self.caches[cache];
-        Some(cache) != self.origin && c.standing == Standing::Ready && !c.barred
+        Some(cache) != self.origin && c.standing == Standing::Ready && !self.barred.contains_key(&c.id)
     }
 
     /// What an answer seldom takes: three times what nine in ten stay under, as a few heavy lookups together
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -152,7 +152,7 @@
     Line { first, behind, rests_until }
     Shot { cache, sent, company, out, may_have_run, bad, begun, fresh }
     Known {
-        id, zone, cell, standing, barred, born, out, flows, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
+        id, zone, cell, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
         refusals, timely, room, credit,
     }
 }
@@ -239,7 +239,7 @@
         self.times.put(&mut to);
         self.fetches.put(&mut to);
         self.lines.put(&mut to);
-        self.barred.iter().cloned().collect::<Vec<String>>().put(&mut to);
+        self.barred.clone().into_iter().collect::<Vec<(String, u64)>>().put(&mut to);
         self.kept.put(&mut to);
         self.house.namespaces.iter().for_each(|rules| rules.purse.counts().put(&mut to));
         self.lookups.len().put(&mut to);
@@ -265,7 +265,7 @@
         r.times = Part::get(from)?;
         r.fetches = Part::get(from)?;
         r.lines = Part::get(from)?;
-        r.barred = Vec::<String>::get(from)?.into_iter().collect();
+        r.barred = Vec::<(String, u64)>::get(from)?.into_iter().collect();
         r.kept = Part::get(from)?;
         for rules in &r.house.namespaces {
             rules.purse.count(Part::get(from)?);
