--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -26,15 +26,7 @@
     /// took over half its target time, or 3/4 of the shortest: queues stay short enough for the most urgent,
     /// which the patient would crowd out; at the origin, over 3/4 of its own. A sixth of a shot up and an
     /// eighth of the room down hold eight shots where one in seven is late, and one where half are.
-    fn resize(
-        &self,
-        c: &mut Known,
-        ending: Ending,
-        took: Tenths,
-        (company, rare): (u64, bool),
-        own: Tenths,
-        cache: bool,
-    ) {
+    fn resize(&self, c: &mut Known, ending: Ending, took: Tenths, company: u64, own: Tenths, cache: bool) {
         let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(own);
         let late = took > if cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
@@ -42,7 +34,7 @@
             // What was out is too much, where under seven came in time since: one of many proxies has a shot
             // at a cache now and then. One in eight may be late by its own work.
             Ending::Resolved | Ending::TimedOut if late => {
-                c.room = (c.room * 7 / 8).min(if rare && c.timely < 7 { company * 100 } else { c.room });
+                c.room = (c.room * 7 / 8).min(if c.timely < 7 { company * 100 } else { c.room });
             }
             // One at a time is no load: guards caches that turn away a part of whatever comes. Where that is
             // half, one run in sixteen is of four, and a cache that is truly full answers nothing in between.
@@ -821,7 +813,8 @@
         let (cache, sent, company, fresh, begun) = (s.cache, s.sent, s.company, s.fresh, s.begun);
         let c = &mut router.caches[cache];
         let silent = c.owes_since <= sent;
-        let rare = router.now > c.answered + SECOND / 2;
+        // Of one that is heard of again and again, one late answer tells little.
+        c.timely = c.timely.max(if router.now > c.answered + SECOND / 2 { 0 } else { 7 });
         (c.out, c.flows) = (c.out - 1, c.flows - u64::from(begun));
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full | Ending::Wrong) {
             (c.owes_since, c.answered, c.hushed) = (router.now, router.now, false);
@@ -838,7 +831,7 @@
         if ending == Ending::Resolved && from_cache {
             router.times.add(took);
         }
-        router.house.resize(c, ending, took, (company, rare), target, from_cache);
+        router.house.resize(c, ending, took, company, target, from_cache);
         let key = (l.leads && !from_cache).then_some(l.key);
         l.leads &= key.is_none();
         let (asked, over, in_ring) = (l.key, l.over, l.order.is_none());
