A proxy with little traffic keeps what it heard of how long answers take

At fault: Tally::fade halves the count each second, so a proxy of one lookup in 0.25 s never has the twenty that ninth asks for, and Router::overdue falls back on 66 ms: every answer beyond 0.2 s was a silence, with a second copy, a fetch each, and doubt, where half of all answers take 0.27 s.

--- /dev/null
+++ b/crates/policy/src/asked.rs
@@ -0,0 +1,46 @@
+//! What callers ask of a router. Nothing here decides, and nothing changes by it.
+
+use crate::plain::{Cache, Lkp, Lookup, Standing, Tenths};
+use crate::policy::Router;
+
+impl Router {
+    /// Classes of lookups; `take` and `renewed` name one by its number.
+    pub fn classes(&self) -> usize {
+        self.house.namespaces.len()
+    }
+
+    /// Since when operators have a cache out, if they do.
+    pub fn barred_since(&self, cache: Cache) -> Option<Tenths> {
+        self.caches.get(cache).and_then(|c| self.barred.get(&c.id).copied())
+    }
+
+    /// Whether operators may mean this cache: it is listed, or was taken out. The origin is none.
+    pub fn has(&self, id: &str) -> bool {
+        let listed = |i: usize| Some(i) != self.origin && self.caches[i].standing != Standing::Gone;
+        self.barred.contains_key(id) || (0..self.caches.len()).any(|i| self.caches[i].id == id && listed(i))
+    }
+
+    /// Whether the next call for the list waits until it is asked for.
+    pub fn rests_from_list(&self) -> bool {
+        self.watch_fails > 0
+    }
+
+    /// Whether nothing will name this cache any more, so that its place may be another's.
+    pub fn done_with(&self, cache: Cache) -> bool {
+        let c = &self.caches[cache];
+        let named = |l: &Lookup| l.shots.iter().any(|s| s.cache == cache);
+        c.standing == Standing::Gone && c.calls == 0 && !self.lookups.values().any(named)
+    }
+
+    /// Lookups that are not done with yet.
+    pub fn open(&self) -> usize {
+        self.lookups.len()
+    }
+}
+
+impl Lkp {
+    /// Whether the router still knows this lookup; when it does not, nothing more will come of it.
+    pub fn known(self, router: &Router) -> bool {
+        router.lookups.contains_key(&self.0)
+    }
+}
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -311,8 +311,12 @@
         self.0[4 * doubling + quarter] += 4;
     }
 
+    /// Halves what is counted, unless it is too little to tell from then on: a proxy with little traffic knows its caches by
+    /// what it heard before.
     pub fn fade(&mut self) {
-        self.0.iter_mut().for_each(|n| *n /= 2);
+        if self.0.iter().sum::<u32>() >= 160 {
+            self.0.iter_mut().for_each(|n| *n /= 2);
+        }
     }
 
     /// The time that nine in ten stayed under, to a doubling, or `usual` where too few were measured.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -262,7 +262,9 @@
     /// What an answer seldom takes: three times what nine in ten stay under, as a few heavy lookups together
     /// hold up more.
     fn overdue(&self) -> Tenths {
-        (3 * self.times.ninth(SECOND / 15)).max(SECOND / 20)
+        // Before there are any, nine in ten are taken to need a quarter of the shortest target time.
+        let shortest = self.house.namespaces.iter().map(|n| n.target).min().unwrap_or(SECOND / 4);
+        (3 * self.times.ninth(shortest / 4)).max(SECOND / 20)
     }
 
     /// How long a cache with shots out may say nothing: as long, and 1.5 s at most.
