A smaller cache keeps that part of its keys that its stated size is of the largest

Cause: every cache has 128 points, and 44 in 100 caches do half of what the others do: at a load of 0.6 they are asked for 0.97 of what they can. One of 300 proxies has a shot at each of them once in 12 s, so rooms never learn it. Change: in the first round a cache is passed for the keys beyond its part of the largest in its ring, by the key alone, so at every proxy alike. Not where weights are loads of the moment. Sizes come from the platform's list, etcd and files; captures have them (version 2). It should also guard any fleet of unlike machines; it does harm where stated sizes are far from the truth.

--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -1,6 +1,6 @@
 //! One instance: its router, and the small indices that stand for the wire's names at its door.
 
-use chalkwalk_house::fields::{Object, Read, flag, list, object, text, text_or, whole, whole_or};
+use chalkwalk_house::fields::{Object, Read, flag, list, object, size, text, text_or, whole, whole_or};
 use chalkwalk_house::{self as house, House};
 use chalkwalk_policy::{Cache, Carrier, Ending, Entry, Lkp, Router, Standing, Tenths};
 use serde_json::{Value, json};
@@ -259,6 +259,7 @@
                     zone: self.zones.index_of(text(e, "dc")?),
                     kind: place_of(&self.house.kinds, text(e, "model")?, "model", "kind")?,
                     cell: whole_or(e, "cluster", 0)?,
+                    size: size(e, "powerHint")?,
                     standing: standing(text(e, "state")?)?,
                     born: whole_or(e, "bornNs", 0)? / NS_PER_TENTH,
                 });
--- a/crates/capture/src/record.rs
+++ b/crates/capture/src/record.rs
@@ -1,10 +1,10 @@
-//! The form of a capture, version 1: a mark, then items, each with its length and checksum.
+//! The form of a capture, version 2 (1 had no sizes of caches): a mark, then items, each with its length and checksum.
 
 use chalkwalk_policy::{Cache, Ending, Entry, Standing, Tenths};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-pub const MARK: &[u8] = b"chalkwalk capture 1\n";
+pub const MARK: &[u8] = b"chalkwalk capture 2\n";
 const HEAD: usize = 8;
 /// Longer items are no capture's: a block is some kilobytes, a list of ten thousand caches a megabyte.
 const LONGEST: usize = 16 << 20;
@@ -17,6 +17,7 @@
     pub zone: usize,
     pub kind: usize,
     pub cell: u64,
+    pub size: u64,
     pub standing: u8,
     pub born: Tenths,
 }
@@ -237,6 +238,7 @@
             zone: e.zone,
             kind: e.kind,
             cell: e.cell,
+            size: e.size,
             standing,
             born: e.born,
         }
@@ -245,7 +247,7 @@
     /// As the module takes it; nothing for a standing that is none.
     pub fn entry(&self) -> Option<Entry<'_>> {
         let standing = *STANDINGS.get(usize::from(self.standing))?;
-        let Line { cache, zone, kind, cell, born, .. } = *self;
-        Some(Entry { cache, id: &self.id, zone, kind, cell, standing, born })
+        let Line { cache, zone, kind, cell, size, born, .. } = *self;
+        Some(Entry { cache, id: &self.id, zone, kind, cell, size, standing, born })
     }
 }
--- a/crates/capture/tests/replay.rs
+++ b/crates/capture/tests/replay.rs
@@ -133,7 +133,16 @@
                     let kind = usize::from(i == 8);
                     let standing = if i == 8 || below(6) > 0 { Standing::Ready } else { Standing::Draining };
                     let born = if below(4) == 0 { now - below(60_000) } else { 0 };
-                    Entry { cache: i, id: &ids[i], zone: i % 2, kind, cell: 0, standing, born }
+                    Entry {
+                        cache: i,
+                        id: &ids[i],
+                        zone: i % 2,
+                        kind,
+                        cell: 0,
+                        size: 100 + 50 * (i as u64 % 2),
+                        standing,
+                        born,
+                    }
                 };
                 let entries: Vec<Entry> = (0..9).map(entry).collect();
                 o.tape.listed(now, true, &entries);
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -80,7 +80,16 @@
                 self.zones.len() - 1
             });
             let kind = self.kinds.iter().position(|k| *k == line.kind).unwrap_or(usize::MAX);
-            Entry { cache, id: &line.id, zone, kind, cell: line.cell, standing, born: line.born }
+            Entry {
+                cache,
+                id: &line.id,
+                zone,
+                kind,
+                cell: line.cell,
+                size: line.size,
+                standing,
+                born: line.born,
+            }
         };
         lines.iter().map(entry).collect()
     }
--- a/crates/house/src/fields.rs
+++ b/crates/house/src/fields.rs
@@ -48,6 +48,13 @@
     needed(optional(o, name, WHOLE, Value::as_u64)?, name, WHOLE)
 }
 
+/// A stated size in hundredths, one where none is stated.
+pub fn size(o: &Object, name: &str) -> Read<u64> {
+    let kind = "a number from 0.01 to 10000";
+    let stated = |v: &Value| v.as_f64().filter(|w| (0.01..=10_000.0).contains(w));
+    Ok(optional(o, name, kind, stated)?.map_or(100, |w| (w * 100.0).round() as u64))
+}
+
 pub fn flag(o: &Object, name: &str) -> Read<bool> {
     Ok(optional(o, name, "true or false", Value::as_bool)?.unwrap_or(false))
 }
@@ -64,3 +71,23 @@
     let found = optional(o, name, "an array", Value::as_array)?;
     needed(found, name, "an array").map(Vec::as_slice)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn sizes_are_numbers_above_0_and_one_where_nothing_is_said() {
+        let told = [
+            json!({}),
+            json!({"w": 1.5}),
+            json!({"w": 0}),
+            json!({"w": -1}),
+            json!({"w": "2"}),
+            json!({"w": 1e9}),
+        ]
+        .map(|o| size(o.as_object().unwrap(), "w").map_or_else(|fault| fault, |n| n.to_string()));
+        expect_test::expect![[r#""#]].assert_eq(&told.join("\n"));
+    }
+}
--- a/crates/membership/src/form.rs
+++ b/crates/membership/src/form.rs
@@ -25,6 +25,9 @@
     kind: String,
     #[serde(default)]
     cell: u64,
+    /// How much it does, to be compared with the others'.
+    #[serde(default = "one", skip_serializing_if = "is_one")]
+    weight: f64,
     state: String,
     /// Unix time in milliseconds at which its process started; 0: long ago.
     #[serde(default)]
@@ -34,6 +37,14 @@
     back: bool,
 }
 
+fn one() -> f64 {
+    1.0
+}
+
+fn is_one(weight: &f64) -> bool {
+    *weight == 1.0
+}
+
 pub const SERVING: &str = "serving";
 pub const DRAINING: &str = "draining";
 
@@ -53,6 +64,7 @@
             zone: line.zone.clone(),
             kind: line.kind.clone(),
             cell: line.cell,
+            weight: line.size as f64 / 100.0,
             state: if line.standing == Standing::Ready { SERVING } else { DRAINING }.into(),
             started_ms: line.born / 10,
             back: false,
@@ -82,9 +94,12 @@
         let Some(born) = self.started_ms.checked_mul(10).filter(|b| *b < Tenths::MAX / 4) else {
             return wrong("started_ms is Unix time in milliseconds, not", &self.started_ms.to_string());
         };
-        let line =
-            Line { id: self.id, addr, zone: self.zone, kind: self.kind, cell: self.cell, standing, born };
-        Ok((line, self.back))
+        if !(0.01..=10_000.0).contains(&self.weight) {
+            return wrong("weight is a number from 0.01 to 10000, not", &self.weight.to_string());
+        }
+        let (size, back) = ((self.weight * 100.0).round() as u64, self.back);
+        let Written { id, zone, kind, cell, .. } = self;
+        Ok((Line { id, addr, zone, kind, cell, size, standing, born }, back))
     }
 }
 
@@ -170,6 +185,8 @@
     kind: String,
     #[serde(default)]
     cell: u64,
+    #[serde(default = "one")]
+    weight: f64,
     state: String,
     #[serde(default)]
     started_ms: u64,
@@ -241,8 +258,8 @@
     let (mut ids, mut addrs) = (BTreeSet::new(), BTreeSet::new());
     let (mut lines, mut faults) = (Vec::new(), Vec::new());
     for (i, c) in file.cache.into_iter().enumerate() {
-        let FileLine { id, addr, zone, kind, cell, state, started_ms, back } = c;
-        match (Written { id, addr, zone, kind, cell, state, started_ms, back }).read(known) {
+        let FileLine { id, addr, zone, kind, cell, weight, state, started_ms, back } = c;
+        match (Written { id, addr, zone, kind, cell, weight, state, started_ms, back }).read(known) {
             Ok((line, back)) => {
                 if !ids.insert(line.id.clone()) {
                     faults.push(format!("cache {}: the id {} is there twice", i + 1, line.id));
@@ -307,7 +324,7 @@
             cache 2: the address 127.0.0.1:1 is there twice
             cache 1: a: addr is an address and a port, not "nowhere"
             cache 2: b: state is serving or draining, not "tired"
-            line 7: unknown field `staet`, expected one of `id`, `addr`, `zone`, `kind`, `cell`, `state`, `started_ms`, `back`
+            line 7: unknown field `staet`, expected one of `id`, `addr`, `zone`, `kind`, `cell`, `weight`, `state`, `started_ms`, `back`
             it does not end with [end]: it may have been cut short
             its checksum is crc32:9dcfd43f, and crc32:00000000 is stated
             cache 1: an id has 1 to 256 bytes, and no control characters
@@ -347,10 +364,10 @@
         }
 
         #[test]
-        fn what_is_written_under_a_key_reads_back(port in any::<u16>(), cell in any::<u64>(), born in 0u64..1 << 50, off in any::<bool>()) {
+        fn what_is_written_under_a_key_reads_back(port in any::<u16>(), cell in any::<u64>(), size in 1u64..1_000_000, born in 0u64..1 << 50, off in any::<bool>()) {
             let standing = if off { Standing::Draining } else { Standing::Ready };
             let addr = std::net::SocketAddr::from(([127, 0, 0, 1], port));
-            let line = Line { id: "a/b".into(), addr, zone: "n".into(), kind: "cache".into(), cell, standing, born: born * 10 };
+            let line = Line { id: "a/b".into(), addr, zone: "n".into(), kind: "cache".into(), cell, size, standing, born: born * 10 };
             prop_assert_eq!(read_cache("a/b", &cache_value(&line), &known()), Ok((line, false)));
         }
     }
--- a/crates/membership/src/kept.rs
+++ b/crates/membership/src/kept.rs
@@ -83,6 +83,7 @@
             zone: "n".into(),
             kind: String::new(),
             cell: 3,
+            size: 150,
             standing,
             born: 170,
         };
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -20,6 +20,8 @@
     pub zone: String,
     pub kind: String,
     pub cell: u64,
+    /// Stated, in hundredths; 100 where nothing is stated.
+    pub size: u64,
     pub standing: Standing,
     /// When its process started, Unix time; 0: long ago.
     pub born: Tenths,
--- a/crates/membership/tests/reconcile.rs
+++ b/crates/membership/tests/reconcile.rs
@@ -12,7 +12,7 @@
 
 fn line(id: &str, standing: Standing, born: Tenths) -> Line {
     let addr = "127.0.0.1:3000".parse().unwrap();
-    Line { id: id.into(), addr, zone: "n".into(), kind: String::new(), cell: 0, standing, born }
+    Line { id: id.into(), addr, zone: "n".into(), kind: String::new(), cell: 0, size: 100, standing, born }
 }
 
 fn on(id: &str, born: Tenths) -> (Line, bool) {
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -4,7 +4,7 @@
 use chalkwalk_core::core::Core;
 use chalkwalk_core::flow;
 use chalkwalk_core::members::Line;
-use chalkwalk_house::fields::{Object, Read, flag, list, object, text, text_or, whole, whole_or};
+use chalkwalk_house::fields::{Object, Read, flag, list, object, size, text, text_or, whole, whole_or};
 use chalkwalk_http1 as http1;
 use chalkwalk_net::{quiet, within};
 use chalkwalk_policy::{Standing, Tenths};
@@ -64,6 +64,7 @@
         zone: word("zone")?,
         kind: text_or(e, "kind", "")?.to_string(),
         cell: whole_or(e, "cell", 0)?,
+        size: size(e, "weight")?,
         standing: standing(text(e, "state")?)?,
         born: whole_or(e, "started_ms", 0)? * 10,
     })
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,5 +1,6 @@
 //! chalkwalk's decision module and the plain types it is called with.
 
+mod asked;
 mod plain;
 mod policy;
 mod state;
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -51,6 +51,8 @@
     pub zone: usize,
     pub kind: usize,
     pub cell: u64,
+    /// Stated, in hundredths; to be compared with those of others.
+    pub size: u64,
     pub standing: Standing,
     pub born: Tenths,
 }
@@ -66,6 +68,7 @@
     pub cold_time: Tenths,
     pub proxies: u64,
     pub through: bool, // caches fetch for themselves
+    pub sizes: bool,   // what the list says of them is their own, and not their load of the moment
     pub origin_kind: Option<usize>,
     pub key_quiet: Tenths, // a key rests after a shot that may still run, where its lookups run in order
 
@@ -108,6 +111,7 @@
             proxies: num("proxies", 1.0) as u64,
             key_quiet: num("key quiet", 0.0) as Tenths,
             through: num("through", 0.0) > 0.0,
+            sizes: word("size kind") != "live",
             origin_kind: (!word("origin kind").is_empty()).then(|| num("origin kind", 0.0) as usize),
             namespaces: (0..num("namespaces", 0.0) as usize).map(namespace).map(Rc::new).collect(),
         }
@@ -219,6 +223,7 @@
     pub id: String,
     pub zone: usize,
     pub cell: u64,
+    pub size: u64, // as stated
     pub standing: Standing,
     pub born: Tenths,
     pub out: u64,           // own shots in flight
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -139,11 +139,6 @@
         pairs.for_each(|(ns, before)| ns.purse.count_from(&before.purse));
     }
 
-    /// Classes of lookups; `take` and `renewed` name one by its number.
-    pub fn classes(&self) -> usize {
-        self.house.namespaces.len()
-    }
-
     /// So many proxies send to the caches, this one included, where that can be counted.
     pub fn shared_by(&mut self, proxies: u64) {
         self.house.proxies = proxies.max(1);
@@ -181,6 +176,7 @@
             }
             // Never back: one that operators put back has started since, though no list knows it yet.
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born.max(c.born));
+            c.size = if self.house.sizes { e.size.max(1) } else { 1 };
             if Some(e.kind) == self.house.origin_kind {
                 self.origin = Some(e.cache);
             }
@@ -199,17 +195,6 @@
         self.rings();
     }
 
-    /// Since when operators have a cache out, if they do.
-    pub fn barred_since(&self, cache: Cache) -> Option<Tenths> {
-        self.caches.get(cache).and_then(|c| self.barred.get(&c.id).copied())
-    }
-
-    /// Whether operators may mean this cache: it is listed, or was taken out. The origin is none.
-    pub fn has(&self, id: &str) -> bool {
-        let listed = |i: usize| Some(i) != self.origin && self.caches[i].standing != Standing::Gone;
-        self.barred.contains_key(id) || (0..self.caches.len()).any(|i| self.caches[i].id == id && listed(i))
-    }
-
     /// 128 points a cache, as the design has it, from the id alone: all proxies build one ring.
     pub(crate) fn rings(&mut self) {
         let mut rings = [Vec::new(), Vec::new(), Vec::new()];
@@ -240,18 +225,6 @@
         out.wake(WATCH_TOKEN, wait / 2 + by_chance);
     }
 
-    /// Whether the next call for the list waits until it is asked for.
-    pub fn rests_from_list(&self) -> bool {
-        self.watch_fails > 0
-    }
-
-    /// Whether nothing will name this cache any more, so that its place may be another's.
-    pub fn done_with(&self, cache: Cache) -> bool {
-        let c = &self.caches[cache];
-        let named = |l: &Lookup| l.shots.iter().any(|s| s.cache == cache);
-        c.standing == Standing::Gone && c.calls == 0 && !self.lookups.values().any(named)
-    }
-
     // ---- which cache ----
 
     fn ready(&self, cache: Cache) -> bool {
@@ -346,6 +319,10 @@
                 }
             }
         }
+        // A smaller cache stands for that part of its keys, the same at every proxy. Guards those that do less
+        // against as many keys as the others have: where many proxies share them, none sees that they are late.
+        let largest = zone.iter().map(|c| self.caches[*c].size).max().unwrap_or(1);
+        let its_part = |c: &Known| care < 2 || mixed(l.key) / 100_000_000 % 1000 < c.size * 1000 / largest;
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
         let may_be_asked = |cache: &Cache| {
@@ -355,6 +332,7 @@
                 && (care == 0 || !self.silent(cache))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && self.warm_enough(cache, l)
+                && its_part(c)
                 && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
                 && self.may_shoot(l, cache)
         };
@@ -369,11 +347,6 @@
 
     // ---- a lookup's way ----
 
-    /// Lookups that are not done with yet.
-    pub fn open(&self) -> usize {
-        self.lookups.len()
-    }
-
     /// Takes a lookup. It must be answered once, before `expires`; route it next.
     pub fn take(&mut self, ns: usize, key: &str, write: bool, expires: Tenths) -> Lkp {
         self.take_at(ns, point(key, 0), write, expires)
@@ -760,11 +733,6 @@
         router.lookups.entry(self.0).and_modify(|l| l.order = Some(caches));
     }
 
-    /// Whether the router still knows this lookup; when it does not, nothing more will come of it.
-    pub fn known(self, router: &Router) -> bool {
-        router.lookups.contains_key(&self.0)
-    }
-
     /// A shot's answer has begun: it is the client's now, and no clock of ours runs for it, nor does the
     /// cache owe anything for it. What else is out for the lookup is of no use any more.
     pub fn answer_begun(self, router: &mut Router, shot: usize, out: &mut dyn Carrier) {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -152,7 +152,7 @@
     Line { first, behind, rests_until }
     Shot { cache, sent, company, out, may_have_run, bad, begun, fresh }
     Known {
-        id, zone, cell, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
+        id, zone, cell, size, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
         refusals, timely, room, credit,
     }
 }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -929,7 +929,7 @@
     h.router.bar("birch", true, h.now);
     h.ready(&["amber", "cedar", "delta"]);
     let (id, standing) = ("birch", Standing::Ready);
-    let back = Entry { cache: 4, id, zone: 0, kind: 0, cell: 0, standing, born: 0 };
+    let back = Entry { cache: 4, id, zone: 0, kind: 0, cell: 0, size: 100, standing, born: 0 };
     h.router.list_changes(&[back], &mut h.trace);
     let mut asked = Vec::new();
     for out in [true, false] {
@@ -1169,6 +1169,38 @@
     assert!(!lkp.known(&h.router));
 }
 
+/// Half as large, half of its keys, and no other cache loses any; not where sizes are loads of the moment. Alone it has all.
+#[test]
+fn a_smaller_cache_stands_for_its_part_of_its_keys() {
+    let day = |size: u64, kind: &str, fleet: &[&str]| {
+        let mut h = house(&[("size kind", kind)]);
+        h.sizes = vec![("birch".into(), size)];
+        h.ready(fleet);
+        owners(&mut h)
+    };
+    let (whole, half) = (day(100, "nominal", &FOUR), day(50, "nominal", &FOUR));
+    let of_birch = |owners: &[String]| owners.iter().filter(|id| *id == "birch").count();
+    let moved = whole.iter().zip(&half).filter(|(was, is)| was != is);
+    let told = [
+        format!("as large {}", of_birch(&whole)),
+        format!("half as large {}", of_birch(&half)),
+        format!(
+            "moved {}, all from birch: {}",
+            moved.clone().count(),
+            moved.clone().all(|(was, _)| was == "birch")
+        ),
+        format!("by its load {}", of_birch(&day(50, "live", &FOUR))),
+        format!("alone {}", of_birch(&day(50, "nominal", &["birch"]))),
+    ];
+    expect![[r#"
+        as large 53
+        half as large 26
+        moved 27, all from birch: true
+        by its load 53
+        alone 200"#]]
+    .assert_eq(&told.join("\n"));
+}
+
 /// A proxy with little traffic keeps what it heard: an answer as slow as ever is no silence. Before the first ones a part of the
 /// shortest target time stands in.
 #[test]
--- a/crates/policy/tests/helper/mod.rs
+++ b/crates/policy/tests/helper/mod.rs
@@ -57,6 +57,7 @@
     pub trace: Trace,
     pub now: Tenths,
     pub said: BTreeMap<String, String>,
+    pub sizes: Vec<(String, u64)>, // of caches, in hundredths, where it is not 100
     ids: Vec<String>,
 }
 
@@ -78,7 +79,7 @@
     });
     let mut trace = Trace::default();
     let router = Router::new(7, &said, &mut trace);
-    House { router, trace, now: 0, said, ids: Vec::new() }
+    House { router, trace, now: 0, said, sizes: Vec::new(), ids: Vec::new() }
 }
 
 impl House {
@@ -89,13 +90,14 @@
                 self.ids.push(id.to_string());
             }
         }
-        let ids = &self.ids;
+        let (ids, sizes) = (&self.ids, &self.sizes);
         let row = |&(id, zone, standing, born)| Entry {
             cache: ids.iter().position(|known| known == id).unwrap(),
             id,
             zone,
             kind: if id == "origin" { 9 } else { 0 },
             cell: 0,
+            size: sizes.iter().find(|(of, _)| *of == id).map_or(100, |(_, size)| *size),
             standing,
             born,
         };
--- a/crates/resp-door/src/cluster.rs
+++ b/crates/resp-door/src/cluster.rs
@@ -30,7 +30,7 @@
     // Where the servers stand is not theirs to say: all count as near.
     let zone = door.core.rules.zones.get(door.core.classes.zone()).cloned().unwrap_or_default();
     let standing = Standing::Ready;
-    Line { id: addr.to_string(), addr, zone, kind: String::new(), cell: 0, standing, born: 0 }
+    Line { id: addr.to_string(), addr, zone, kind: String::new(), cell: 0, size: 100, standing, born: 0 }
 }
 
 /// Keeps the map; never ends.
