--- a/crates/capture/tests/replay.rs
+++ b/crates/capture/tests/replay.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-const MARK: &[u8] = b"chalkwalk capture 1\n";
+const MARK: &[u8] = b"chalkwalk capture 2\n";
 
 /// A proxy's outside: shots that are out, wakes that are due, and the tape.
 struct Outside {
--- a/crates/house/src/fields.rs
+++ b/crates/house/src/fields.rs
@@ -88,6 +88,12 @@
             json!({"w": 1e9}),
         ]
         .map(|o| size(o.as_object().unwrap(), "w").map_or_else(|fault| fault, |n| n.to_string()));
-        expect_test::expect![[r#""#]].assert_eq(&told.join("\n"));
+        expect_test::expect![[r#"
+            100
+            150
+            field w: expected a number from 0.01 to 10000, got 0
+            field w: expected a number from 0.01 to 10000, got -1
+            field w: expected a number from 0.01 to 10000, got "2"
+            field w: expected a number from 0.01 to 10000, got 1000000000.0"#]].assert_eq(&told.join("\n"));
     }
 }
