--- a/crates/house/src/fields.rs
+++ b/crates/house/src/fields.rs
@@ -94,6 +94,7 @@
             field w: expected a number from 0.01 to 10000, got 0
             field w: expected a number from 0.01 to 10000, got -1
             field w: expected a number from 0.01 to 10000, got "2"
-            field w: expected a number from 0.01 to 10000, got 1000000000.0"#]].assert_eq(&told.join("\n"));
+            field w: expected a number from 0.01 to 10000, got 1000000000.0"#]]
+        .assert_eq(&told.join("\n"));
     }
 }
