A kind of caches that is late more often than the best kind keeps fewer of its keys

Cause: equal shares of the keys; HouseRules::resize learns by cache, and one of a hundred proxies hears of one every few seconds. Change: Router::weigh counts by the kind that the list names how many answers come past half their target time; above twice the best kind's share and one in twenty, a late answer takes an eighth of the kind's part of its keys, an answer in time gives four thousandths back; the part works as a stated size does. It should also guard against a kind that a release slows; it does harm where kinds differ in what they are asked, which the ring does not let them.

--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -223,6 +223,7 @@
     pub id: String,
     pub zone: usize,
     pub cell: u64,
+    pub kind: usize,
     pub size: u64, // as stated
     pub standing: Standing,
     pub born: Tenths,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -13,6 +13,7 @@
 const SECOND: Tenths = 10_000;
 const CACHE_TOKEN: u64 = 1 << 61; // wakes below this are lookups, from here on caches
 const WATCH_TOKEN: u64 = 1 << 62;
+const OTHER_KINDS: usize = 63; // and those that have no name: more than any house keeps apart
 const LONGEST_LINE: usize = 100; // behind one key: more than ever come to their turn while they are useful
 
 impl HouseRules {
@@ -72,6 +73,8 @@
     pub(crate) taken_lately: u64, // halved each second
     pub(crate) fetches: HashMap<u64, Vec<Lkp>>,
     pub(crate) times: Tally,
+    // By kind: ten-thousandths of its caches' answers past half their target, and thousandths of their keys kept.
+    pub(crate) kinds: Vec<(u64, u64)>,
     pub(crate) held_late: u64, // ten-thousandths of the answers from what a cache held
     pub(crate) erred: (Cache, bool), // whose the last error on a fetch was; whether one elsewhere succeeded
     pub(crate) fetches_out: [u64; 2], // shots for keys resolved here lately, and for others
@@ -176,6 +179,8 @@
             }
             // Never back: one that operators put back has started since, though no list knows it yet.
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born.max(c.born));
+            c.kind = e.kind.min(OTHER_KINDS);
+            self.kinds.resize(self.kinds.len().max(c.kind + 1), (0, 1000));
             c.size = if self.house.sizes { e.size.max(1) } else { 1 };
             if Some(e.kind) == self.house.origin_kind {
                 self.origin = Some(e.cache);
@@ -321,8 +326,9 @@
         }
         // A smaller cache stands for that part of its keys, the same at every proxy. Guards those that do less
         // against as many keys as the others have: where many proxies share them, none sees that they are late.
-        let largest = zone.iter().map(|c| self.caches[*c].size).max().unwrap_or(1);
-        let its_part = |c: &Known| care < 2 || mixed(l.key) / 100_000_000 % 1000 < c.size * 1000 / largest;
+        let size = |c: &Known| c.size * self.kinds.get(c.kind).map_or(1000, |kind| kind.1);
+        let largest = zone.iter().map(|c| size(&self.caches[*c])).max().unwrap_or(1).max(1);
+        let its_part = |c: &Known| care < 2 || mixed(l.key) / 100_000_000 % 1000 < size(c) * 1000 / largest;
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
         let may_be_asked = |cache: &Cache| {
@@ -607,6 +613,21 @@
 
     // ---- health ----
 
+    /// Learns by kinds which caches are late more often than others, and keep fewer of their keys: one of many
+    /// proxies hears too little of each cache. More than twice the best kind's share, and one in twenty, is no
+    /// chance, and where all are late nothing moves. An eighth of the keys stay, to hear how the kind does.
+    fn weigh(&mut self, cache: Cache, late: bool) {
+        let kinds = (0..self.caches.len()).filter(|c| self.ready(*c)).map(|c| self.caches[c].kind);
+        let best = kinds.map(|kind| self.kinds[kind].0).min().unwrap_or(0);
+        let Some((share, part)) = self.kinds.get_mut(self.caches[cache].kind) else { return };
+        *share = (*share * 31 + if late { 10_000 } else { 0 }) / 32;
+        *part = match late {
+            true if *share > best * 2 + 500 => (*part * 7 / 8).max(125),
+            true => *part,
+            false => (*part + 4).min(1000),
+        };
+    }
+
     /// Doubt grows where over one in four fails, and is enough after three in a row or if nothing listens: a
     /// fast failer holds little and would keep its keys. One broken connection is no reason to leave a cache.
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
@@ -802,6 +823,10 @@
             router.times.add(took);
         }
         router.house.resize(c, ending, took, company, target, from_cache);
+        if from_cache && matches!(ending, Ending::Resolved | Ending::TimedOut) {
+            router.weigh(cache, took > target / 2);
+        }
+        let Some(l) = router.lookups.get_mut(&self.0) else { return };
         let key = (l.leads && !from_cache).then_some(l.key);
         l.leads &= key.is_none();
         let (asked, over, in_ring) = (l.key, l.over, l.order.is_none());
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -152,7 +152,7 @@
     Line { first, behind, rests_until }
     Shot { cache, sent, company, out, may_have_run, bad, begun, fresh }
     Known {
-        id, zone, cell, size, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
+        id, zone, cell, kind, size, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
         refusals, timely, room, credit,
     }
 }
@@ -237,6 +237,7 @@
         [self.admitted, self.fetches_out, self.fetch_share].put(&mut to);
         self.erred.put(&mut to);
         self.times.put(&mut to);
+        self.kinds.put(&mut to);
         self.fetches.put(&mut to);
         self.lines.put(&mut to);
         self.barred.clone().into_iter().collect::<Vec<(String, u64)>>().put(&mut to);
@@ -263,6 +264,7 @@
         [r.admitted, r.fetches_out, r.fetch_share] = Part::get(from)?;
         r.erred = Part::get(from)?;
         r.times = Part::get(from)?;
+        r.kinds = Part::get(from)?;
         r.fetches = Part::get(from)?;
         r.lines = Part::get(from)?;
         r.barred = Vec::<(String, u64)>::get(from)?.into_iter().collect();
@@ -277,7 +279,8 @@
         }
         let caches = r.caches.len();
         let known = r.lookups.values().flat_map(|l| &l.shots).all(|s| s.cache < caches);
-        let good = from.words.next().is_none() && known && r.origin.is_none_or(|o| o < caches);
+        let of_kinds = r.caches.iter().all(|c| c.kind < r.kinds.len() || c.id.is_empty());
+        let good = of_kinds && from.words.next().is_none() && known && r.origin.is_none_or(|o| o < caches);
         good.then(|| {
             r.rings();
             r
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -1201,6 +1201,29 @@
     .assert_eq(&told.join("\n"));
 }
 
+/// One kind late, the other not: the late one keeps fewer of its keys, and gets them back. Where both are late only rooms move
+/// keys, cache by cache.
+#[test]
+fn a_kind_of_caches_that_is_late_more_often_keeps_fewer_of_its_keys() {
+    let mut h = house(&[]);
+    h.kinds = vec![("birch".into(), 1), ("delta".into(), 1)];
+    h.ready(&FOUR);
+    let day = |h: &mut House, slow: u64, quick: u64| {
+        for i in 0..200 {
+            h.pass(2_000);
+            let lkp = h.ask(0, &format!("page/{i}"));
+            let of_late_kind = h.last_asked().is_some_and(|id| id == "birch" || id == "delta");
+            let took = if of_late_kind && i % 4 == 0 { slow } else { quick };
+            lkp.shot_ended(&mut h.router, 0, Ending::Resolved, took, true, &mut h.trace);
+        }
+        let owners = owners(h);
+        ["birch", "delta"].map(|id| owners.iter().filter(|owner| *owner == id).count())
+    };
+    let told =
+        [day(&mut h, 100, 100), day(&mut h, 6_000, 100), day(&mut h, 100, 100), day(&mut h, 6_000, 6_000)];
+    expect!["[[53, 61], [22, 34], [50, 60], [55, 38]]"].assert_eq(&format!("{told:?}"));
+}
+
 /// A proxy with little traffic keeps what it heard: an answer as slow as ever is no silence. Before the first ones a part of the
 /// shortest target time stands in.
 #[test]
--- a/crates/policy/tests/helper/mod.rs
+++ b/crates/policy/tests/helper/mod.rs
@@ -58,6 +58,7 @@
     pub now: Tenths,
     pub said: BTreeMap<String, String>,
     pub sizes: Vec<(String, u64)>, // of caches, in hundredths, where it is not 100
+    pub kinds: Vec<(String, usize)>, // of caches, where it is not 0
     ids: Vec<String>,
 }
 
@@ -79,7 +80,7 @@
     });
     let mut trace = Trace::default();
     let router = Router::new(7, &said, &mut trace);
-    House { router, trace, now: 0, said, sizes: Vec::new(), ids: Vec::new() }
+    House { router, trace, now: 0, said, sizes: Vec::new(), kinds: Vec::new(), ids: Vec::new() }
 }
 
 impl House {
@@ -90,12 +91,13 @@
                 self.ids.push(id.to_string());
             }
         }
-        let (ids, sizes) = (&self.ids, &self.sizes);
+        let (ids, sizes, kinds) = (&self.ids, &self.sizes, &self.kinds);
+        let kind = |id: &str| kinds.iter().find(|(of, _)| *of == id).map_or(0, |(_, kind)| *kind);
         let row = |&(id, zone, standing, born)| Entry {
             cache: ids.iter().position(|known| known == id).unwrap(),
             id,
             zone,
-            kind: if id == "origin" { 9 } else { 0 },
+            kind: if id == "origin" { 9 } else { kind(id) },
             cell: 0,
             size: sizes.iter().find(|(of, _)| *of == id).map_or(100, |(_, size)| *size),
             standing,
