--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -73,7 +73,7 @@
     pub(crate) taken_lately: u64, // halved each second
     pub(crate) fetches: HashMap<u64, Vec<Lkp>>,
     pub(crate) times: Tally,
-    // By kind: ten-thousandths of its caches' answers past half their target, and thousandths of their keys kept.
+    // By kind: ten-thousandths of its answers past half their target, thousandths of its keys that are kept.
     pub(crate) kinds: Vec<(u64, u64)>,
     pub(crate) held_late: u64, // ten-thousandths of the answers from what a cache held
     pub(crate) erred: (Cache, bool), // whose the last error on a fetch was; whether one elsewhere succeeded
@@ -324,8 +324,8 @@
                 }
             }
         }
-        // A smaller cache stands for that part of its keys, the same at every proxy. Guards those that do less
-        // against as many keys as the others have: where many proxies share them, none sees that they are late.
+        // A smaller cache stands for that part of its keys, the same at every proxy. Guards those that do
+        // less against as many keys as others have: one of many proxies does not see that they are late.
         let size = |c: &Known| c.size * self.kinds.get(c.kind).map_or(1000, |kind| kind.1);
         let largest = zone.iter().map(|c| size(&self.caches[*c])).max().unwrap_or(1).max(1);
         let its_part = |c: &Known| care < 2 || mixed(l.key) / 100_000_000 % 1000 < size(c) * 1000 / largest;
@@ -613,9 +613,9 @@
 
     // ---- health ----
 
-    /// Learns by kinds which caches are late more often than others, and keep fewer of their keys: one of many
-    /// proxies hears too little of each cache. More than twice the best kind's share, and one in twenty, is no
-    /// chance, and where all are late nothing moves. An eighth of the keys stay, to hear how the kind does.
+    /// Learns which kinds are late more often than others, and keep fewer keys: one of many proxies hears too
+    /// little of each cache. Over twice the best kind's share, and one in twenty, is no chance, and where all
+    /// are late nothing moves. An eighth of the keys stay, to hear how the kind does.
     fn weigh(&mut self, cache: Cache, late: bool) {
         let kinds = (0..self.caches.len()).filter(|c| self.ready(*c)).map(|c| self.caches[c].kind);
         let best = kinds.map(|kind| self.kinds[kind].0).min().unwrap_or(0);
