Where caches refuse connections, idle ones are given back at once

Checked with a probe on shot_ended: of shots at caches that answered this proxy within half a second 1% are refused, within 2 s 3%, within 10 s 25%, at others 62%. So those who hold a connection are served, and the rest is kept out by connections that are idle: some 25 places a cache, and 4 lookups at once. At fault: nothing in the module closed a connection, and each proxy kept one to every cache for 30 s. Change: of the last 32 shots two or more refused: at a refusal all idle connections are given back (Carrier::give_back; DISCONNECT in the simulator, Pool::forget on sockets), and each as it gets idle while that lasts. It guards against anything that makes places short; it costs handshakes where caches die in numbers.

--- a/crates/capture/src/record.rs
+++ b/crates/capture/src/record.rs
@@ -94,6 +94,7 @@
     Wake { token: u64, after: Tenths },
     Watch,
     Log { event: String, cache: String },
+    GiveBack(Cache),
 }
 
 impl Told {
--- a/crates/capture/src/replay.rs
+++ b/crates/capture/src/replay.rs
@@ -25,6 +25,9 @@
     fn probe(&mut self, cache: Cache) {
         self.0.push(Done::Probe(cache));
     }
+    fn give_back(&mut self, cache: Cache) {
+        self.0.push(Done::GiveBack(cache));
+    }
     fn wake(&mut self, token: u64, after: Tenths) {
         self.0.push(Done::Wake { token, after });
     }
@@ -76,6 +79,7 @@
         Some(Done::Defer { .. }) => "deferral",
         Some(Done::Abandon(_)) => "abandonment",
         Some(Done::Probe(_)) => "probe",
+        Some(Done::GiveBack(_)) => "given back",
         Some(Done::Wake { .. }) => "wake",
         Some(Done::Watch) => "watch",
         Some(Done::Log { .. }) => "log",
--- a/crates/policy/src/asked.rs
+++ b/crates/policy/src/asked.rs
@@ -1,6 +1,6 @@
-//! What callers ask of a router. Nothing here decides, and nothing changes by it.
+//! Ways into a router that decide nothing: what callers ask of it, and calls that only pass on.
 
-use crate::plain::{Cache, Lkp, Lookup, Standing, Tenths};
+use crate::plain::{Cache, Carrier, Lkp, Lookup, Standing, Tenths, point};
 use crate::policy::Router;
 
 impl Router {
@@ -36,9 +36,32 @@
     pub fn open(&self) -> usize {
         self.lookups.len()
     }
+
+    /// So many proxies send to the caches, this one included, where that can be counted.
+    pub fn shared_by(&mut self, proxies: u64) {
+        self.house.proxies = proxies.max(1);
+    }
+
+    /// Takes a lookup. It must be answered once, before `expires`; route it next.
+    pub fn take(&mut self, ns: usize, key: &str, write: bool, expires: Tenths) -> Lkp {
+        self.take_at(ns, point(key, 0), write, expires)
+    }
 }
 
 impl Lkp {
+    pub fn route(self, router: &mut Router, out: &mut dyn Carrier) {
+        router.place(self, out);
+    }
+
+    /// Only these caches may serve it, and their order is the ring's: who holds its key is settled elsewhere.
+    pub fn ordered(self, router: &mut Router, caches: Vec<Cache>) {
+        router.lookups.entry(self.0).and_modify(|l| l.order = Some(caches));
+    }
+
+    pub fn client_left(self, router: &mut Router, out: &mut dyn Carrier) {
+        router.close(self, out);
+    }
+
     /// Whether the router still knows this lookup; when it does not, nothing more will come of it.
     pub fn known(self, router: &Router) -> bool {
         router.lookups.contains_key(&self.0)
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -84,6 +84,8 @@
     pub(crate) kept: [HashSet<u64>; 2], // keys resolved lately, and before that
     pub(crate) faded: Tenths,
     pub(crate) watch_fails: u32,
+    pub(crate) gave_back: Tenths, // all connections that were idle, last
+    pub(crate) refused: u64,      // ten-thousandths of the shots at caches that found no connection
     pub(crate) barred: BTreeMap<String, Tenths>, // ids that operators took out, listed or not: since when
 }
 
@@ -142,11 +144,6 @@
         pairs.for_each(|(ns, before)| ns.purse.count_from(&before.purse));
     }
 
-    /// So many proxies send to the caches, this one included, where that can be counted.
-    pub fn shared_by(&mut self, proxies: u64) {
-        self.house.proxies = proxies.max(1);
-    }
-
     // ---- the list of caches ----
 
     pub fn list_whole(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
@@ -353,11 +350,6 @@
 
     // ---- a lookup's way ----
 
-    /// Takes a lookup. It must be answered once, before `expires`; route it next.
-    pub fn take(&mut self, ns: usize, key: &str, write: bool, expires: Tenths) -> Lkp {
-        self.take_at(ns, point(key, 0), write, expires)
-    }
-
     /// The same for a key that is known by its point alone.
     pub fn take_at(&mut self, ns: usize, key: u64, write: bool, expires: Tenths) -> Lkp {
         let lkp = Lkp(self.taken);
@@ -416,7 +408,7 @@
         self.place(next, out);
     }
 
-    fn place(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
+    pub(crate) fn place(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         if self.waits_its_turn(lkp, out) {
             return;
         }
@@ -581,7 +573,7 @@
     }
 
     /// The lookup has its final answer: nothing more is sent for it.
-    fn close(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
+    pub(crate) fn close(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         let Some(l) = self.lookups.get_mut(&lkp.0) else { return };
         if !l.over && self.house.withdrawals {
             let open = l.shots.iter().enumerate().filter(|(_, s)| s.out);
@@ -733,10 +725,6 @@
 }
 
 impl Lkp {
-    pub fn route(self, router: &mut Router, out: &mut dyn Carrier) {
-        router.place(self, out);
-    }
-
     /// Limits have changed while it is open: what is sent from now on goes by the new ones, and so does its
     /// time limit where that is shorter and can still be kept.
     pub fn renewed(self, router: &mut Router, ns: usize, expires: Tenths, out: &mut dyn Carrier) {
@@ -749,11 +737,6 @@
         }
     }
 
-    /// Only these caches may serve it, and their order is the ring's: who holds its key is settled elsewhere.
-    pub fn ordered(self, router: &mut Router, caches: Vec<Cache>) {
-        router.lookups.entry(self.0).and_modify(|l| l.order = Some(caches));
-    }
-
     /// A shot's answer has begun: it is the client's now, and no clock of ours runs for it, nor does the
     /// cache owe anything for it. What else is out for the lookup is of no use any more.
     pub fn answer_begun(self, router: &mut Router, shot: usize, out: &mut dyn Carrier) {
@@ -770,10 +753,6 @@
         others.for_each(|(i, _)| out.withdraw(self, i));
     }
 
-    pub fn client_left(self, router: &mut Router, out: &mut dyn Carrier) {
-        router.close(self, out);
-    }
-
     /// A shot ended; `finished` says that the client has its answer, by this or before.
     pub fn shot_ended(
         self,
@@ -815,6 +794,18 @@
         let lost = ending == Ending::TimedOut && !silent && c.heard > sent && took > overdue;
         let ending = if lost { Ending::Withdrawn } else { ending };
         let from_cache = Some(cache) != router.origin;
+        let refused = ending == Ending::Unreachable;
+        router.refused = (router.refused * 31 + if refused { 10_000 } else { 0 }) / 32;
+        // Guards against caches short of places: one that is held idle is another's who needs it now. Two
+        // refused of thirty-two are more than one cache that died, which is left at once.
+        if router.refused > 600 && from_cache {
+            let since =
+                if refused { std::mem::replace(&mut router.gave_back, router.now) } else { Tenths::MAX };
+            let idle = |i: usize, c: &Known| c.out == 0 && (i == cache || c.owes_since >= since);
+            let caches = router.caches.iter().enumerate().filter(|(i, c)| idle(*i, c));
+            caches.for_each(|(i, _)| out.give_back(i));
+        }
+        let c = &mut router.caches[cache];
         let target = l.rules.target;
         if matches!(ending, Ending::Resolved | Ending::TimedOut) {
             c.lately = (c.lately * 7 + took.min(target)) / 8;
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -729,6 +729,9 @@
         lookup 5 -> cache 1
         lookup 5 abandoned
         lookup 6 -> cache 1
+        gives back idle connections to cache 0
+        gives back idle connections to cache 1
+        gives back idle connections to cache 2
         log: cache left birch
         wake in 599 ms
         lookup 6 -> cache 0
@@ -1224,6 +1227,50 @@
     expect!["[[53, 61], [22, 34], [50, 60], [55, 38]]"].assert_eq(&format!("{told:?}"));
 }
 
+/// One refused connection is a cache that died. Two are caches short of places: what is idle is given back at once. Where few
+/// are refused from then on, all is as before.
+#[test]
+fn where_connections_are_refused_idle_ones_are_given_back() {
+    let mut h = house(&[]);
+    h.ready(&FOUR);
+    let keys = FOUR.map(|id| key_of(&mut h, id));
+    h.told();
+    for (i, ending) in
+        [Ending::Resolved, Ending::Unreachable, Ending::Unreachable, Ending::Resolved].into_iter().enumerate()
+    {
+        h.pass(1_000);
+        let lkp = h.ask(0, &keys[i]);
+        h.end(lkp, 0, ending);
+        h.end(lkp, 1, Ending::Resolved);
+    }
+    h.trace.mark("forty more");
+    let before = h.told();
+    for i in 0..40 {
+        h.pass(1_000);
+        let lkp = h.ask(0, &keys[3 * (i % 2)]);
+        h.end(lkp, 0, Ending::Resolved);
+    }
+    expect![[r#"
+        lookup 23 -> cache 0
+        lookup 24 -> cache 1
+        log: cache left birch
+        wake in 500 ms
+        lookup 24 -> cache 3
+        lookup 25 -> cache 2
+        gives back idle connections to cache 0
+        gives back idle connections to cache 1
+        gives back idle connections to cache 2
+        gives back idle connections to cache 3
+        log: cache left cedar
+        wake in 608 ms
+        lookup 25 -> cache 3
+        lookup 26 -> cache 3
+        --- forty more
+    "#]]
+    .assert_eq(&before);
+    expect!["0"].assert_eq(&h.told().matches("gives back").count().to_string());
+}
+
 /// A proxy with little traffic keeps what it heard: an answer as slow as ever is no silence. Before the first ones a part of the
 /// shortest target time stands in.
 #[test]
