A smaller cache gives up half of the keys that it is short of the largest by

Cause: its_part gave a half-sized cache half of its keys, so half of its memory held nothing that is asked for, and more was fetched. Sizes say what a cache does, not what it holds. Change: half of the difference.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -321,9 +321,11 @@
                 }
             }
         }
-        // A smaller cache stands for that part of its keys, the same at every proxy. Guards those that do
-        // less against as many keys as others have: one of many proxies does not see that they are late.
-        let size = |c: &Known| c.size * self.kinds.get(c.kind).map_or(1000, |kind| kind.1);
+        // A smaller cache gives up half of the keys that it is short of the largest by, the same at every proxy.
+        // Guards those that do less against as many keys as others have: one of many proxies does not see that
+        // they are late. Half, as keys are work and room to be kept in, and the room is nowhere stated.
+        let most = zone.iter().map(|c| self.caches[*c].size).max().unwrap_or(1);
+        let size = |c: &Known| (c.size + most) * self.kinds.get(c.kind).map_or(1000, |kind| kind.1);
         let largest = zone.iter().map(|c| size(&self.caches[*c])).max().unwrap_or(1).max(1);
         let its_part = |c: &Known| care < 2 || mixed(l.key) / 100_000_000 % 1000 < size(c) * 1000 / largest;
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
