--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -321,9 +321,9 @@
                 }
             }
         }
-        // A smaller cache gives up half of the keys that it is short of the largest by, the same at every proxy.
-        // Guards those that do less against as many keys as others have: one of many proxies does not see that
-        // they are late. Half, as keys are work and room to be kept in, and the room is nowhere stated.
+        // A smaller cache gives up half of the keys that it is short of the largest by, the same everywhere.
+        // Guards those that do less against as many keys as others: one of many proxies sees no lateness.
+        // Half, as keys are work and room to be kept in, and that room is nowhere stated.
         let most = zone.iter().map(|c| self.caches[*c].size).max().unwrap_or(1);
         let size = |c: &Known| (c.size + most) * self.kinds.get(c.kind).map_or(1000, |kind| kind.1);
         let largest = zone.iter().map(|c| size(&self.caches[*c])).max().unwrap_or(1).max(1);
