A strange size loses no list; refusals at the origin are not counted as the caches'

Found by rereading: a weight of 0, or below 0.01 as loads of the moment may be, had the platform's whole list passed over (house::fields::size); it is taken within bounds now. Router.refused counted the origin's refusals too, which its comment denied, so caches' connections were given back for a fault of the origin.

--- a/crates/house/src/fields.rs
+++ b/crates/house/src/fields.rs
@@ -48,11 +48,10 @@
     needed(optional(o, name, WHOLE, Value::as_u64)?, name, WHOLE)
 }
 
-/// A stated size in hundredths, one where none is stated.
+/// A stated size in hundredths, one where none is stated; within bounds, as no list is to be lost over a strange one.
 pub fn size(o: &Object, name: &str) -> Read<u64> {
-    let kind = "a number from 0.01 to 10000";
-    let stated = |v: &Value| v.as_f64().filter(|w| (0.01..=10_000.0).contains(w));
-    Ok(optional(o, name, kind, stated)?.map_or(100, |w| (w * 100.0).round() as u64))
+    let stated = optional(o, name, "a number", Value::as_f64)?.unwrap_or(1.0);
+    Ok((stated.clamp(0.01, 10_000.0) * 100.0).round() as u64)
 }
 
 pub fn flag(o: &Object, name: &str) -> Read<bool> {
@@ -78,7 +77,7 @@
     use serde_json::json;
 
     #[test]
-    fn sizes_are_numbers_above_0_and_one_where_nothing_is_said() {
+    fn sizes_are_numbers_within_bounds_and_one_where_nothing_is_said() {
         let told = [
             json!({}),
             json!({"w": 1.5}),
@@ -91,10 +90,10 @@
         expect_test::expect![[r#"
             100
             150
-            field w: expected a number from 0.01 to 10000, got 0
-            field w: expected a number from 0.01 to 10000, got -1
-            field w: expected a number from 0.01 to 10000, got "2"
-            field w: expected a number from 0.01 to 10000, got 1000000000.0"#]]
+            1
+            1
+            field w: expected a number, got "2"
+            1000000"#]]
         .assert_eq(&told.join("\n"));
     }
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -797,7 +797,9 @@
         let ending = if lost { Ending::Withdrawn } else { ending };
         let from_cache = Some(cache) != router.origin;
         let refused = ending == Ending::Unreachable;
-        router.refused = (router.refused * 31 + if refused { 10_000 } else { 0 }) / 32;
+        if from_cache {
+            router.refused = (router.refused * 31 + if refused { 10_000 } else { 0 }) / 32;
+        }
         // Guards against caches short of places: one that is held idle is another's who needs it now. Two
         // refused of thirty-two are more than one cache that died, which is left at once.
         if router.refused > 600 && from_cache {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -152,8 +152,8 @@
     Line { first, behind, rests_until }
     Shot { cache, sent, company, out, may_have_run, bad, begun, fresh }
     Known {
-        id, zone, cell, kind, size, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, calls, stay, lately,
-        refusals, timely, room, credit,
+        id, zone, cell, kind, size, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, calls, stay,
+        lately, refusals, timely, room, credit,
     }
 }
 
