Reread: one place for running shares and the shortest target, shorter tests

Found by rereading: the running share of 32 was written three times and the shortest target twice (now plain::leaning and HouseRules::shortest); at a first refusal connections were given back to caches that had never been asked, as their time and that of the last giving back were both zero; bounds of stated sizes and the steps of a kind's part had no word on how they were chosen.

--- a/crates/house/src/fields.rs
+++ b/crates/house/src/fields.rs
@@ -48,7 +48,8 @@
     needed(optional(o, name, WHOLE, Value::as_u64)?, name, WHOLE)
 }
 
-/// A stated size in hundredths, one where none is stated; within bounds, as no list is to be lost over a strange one.
+/// A stated size in hundredths, one where none is stated. From a hundredth to ten thousand, wider than any fleet's machines
+/// differ; what is beyond is taken as the bound, as no list is to be lost over a strange one.
 pub fn size(o: &Object, name: &str) -> Read<u64> {
     let stated = optional(o, name, "a number", Value::as_f64)?.unwrap_or(1.0);
     Ok((stated.clamp(0.01, 10_000.0) * 100.0).round() as u64)
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -76,6 +76,11 @@
 }
 
 impl HouseRules {
+    /// The shortest target time of all namespaces.
+    pub fn shortest(&self) -> Option<Tenths> {
+        self.namespaces.iter().map(|n| n.target).min()
+    }
+
     pub fn read(said: &BTreeMap<String, String>) -> HouseRules {
         let word = |name: &str| said.get(name).map_or("", String::as_str);
         let num = |name: &str, or: f64| word(name).parse::<f64>().unwrap_or(or);
@@ -279,6 +284,11 @@
     mixed(seen ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
+/// A share in ten-thousandths of about the last 32, after one more that was so or was not.
+pub(crate) fn leaning(share: u64, to: bool) -> u64 {
+    (share * 31 + if to { 10_000 } else { 0 }) / 32
+}
+
 pub(crate) fn mixed(mut h: u64) -> u64 {
     h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -7,7 +7,7 @@
 //! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
 
 use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Line, Lkp, Lookup};
-use crate::plain::{Shot, Standing, Tally, Tenths, mixed, point};
+use crate::plain::{Shot, Standing, Tally, Tenths, leaning, mixed, point};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 const SECOND: Tenths = 10_000;
@@ -28,7 +28,7 @@
     /// which the patient would crowd out; at the origin, over 3/4 of its own. A sixth of a shot up and an
     /// eighth of the room down hold eight shots where one in seven is late, and one where half are.
     fn resize(&self, c: &mut Known, ending: Ending, took: Tenths, company: u64, own: Tenths, cache: bool) {
-        let shortest = self.namespaces.iter().map(|n| n.target).min().unwrap_or(own);
+        let shortest = self.shortest().unwrap_or(own);
         let late = took > if cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
@@ -238,7 +238,7 @@
     /// hold up more.
     fn overdue(&self) -> Tenths {
         // Before there are any, nine in ten are taken to need a quarter of the shortest target time.
-        let shortest = self.house.namespaces.iter().map(|n| n.target).min().unwrap_or(SECOND / 4);
+        let shortest = self.house.shortest().unwrap_or(SECOND / 4);
         (3 * self.times.ninth(shortest / 4)).max(SECOND / 20)
     }
 
@@ -325,7 +325,7 @@
         // Guards those that do less against as many keys as others: one of many proxies sees no lateness.
         // Half, as keys are work and room to be kept in, and that room is nowhere stated.
         let most = zone.iter().map(|c| self.caches[*c].size).max().unwrap_or(1);
-        let size = |c: &Known| (c.size + most) * self.kinds.get(c.kind).map_or(1000, |kind| kind.1);
+        let size = |c: &Known| (c.size + most) * self.kinds[c.kind].1;
         let largest = zone.iter().map(|c| size(&self.caches[*c])).max().unwrap_or(1).max(1);
         let its_part = |c: &Known| care < 2 || mixed(l.key) / 100_000_000 % 1000 < size(c) * 1000 / largest;
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
@@ -458,7 +458,6 @@
         if !self.house.through {
             return;
         }
-        let leaning = |share: u64, to: bool| (share * 31 + if to { 10_000 } else { 0 }) / 32;
         if fetched == Some(false) {
             self.held_late = leaning(self.held_late, vain);
         }
@@ -609,12 +608,13 @@
 
     /// Learns which kinds are late more often than others, and keep fewer keys: one of many proxies hears too
     /// little of each cache. Over twice the best kind's share, and one in twenty, is no chance, and where all
-    /// are late nothing moves. An eighth of the keys stay, to hear how the kind does.
+    /// are late nothing moves. An eighth down and four thousandths up hold a kind where one in twenty is
+    /// late; an eighth of the keys stay, to hear how it does.
     fn weigh(&mut self, cache: Cache, late: bool) {
         let kinds = (0..self.caches.len()).filter(|c| self.ready(*c)).map(|c| self.caches[c].kind);
         let best = kinds.map(|kind| self.kinds[kind].0).min().unwrap_or(0);
         let Some((share, part)) = self.kinds.get_mut(self.caches[cache].kind) else { return };
-        *share = (*share * 31 + if late { 10_000 } else { 0 }) / 32;
+        *share = leaning(*share, late);
         *part = match late {
             true if *share > best * 2 + 500 => (*part * 7 / 8).max(125),
             true => *part,
@@ -798,14 +798,14 @@
         let from_cache = Some(cache) != router.origin;
         let refused = ending == Ending::Unreachable;
         if from_cache {
-            router.refused = (router.refused * 31 + if refused { 10_000 } else { 0 }) / 32;
+            router.refused = leaning(router.refused, refused);
         }
         // Guards against caches short of places: one that is held idle is another's who needs it now. Two
         // refused of thirty-two are more than one cache that died, which is left at once.
         if router.refused > 600 && from_cache {
             let since =
                 if refused { std::mem::replace(&mut router.gave_back, router.now) } else { Tenths::MAX };
-            let idle = |i: usize, c: &Known| c.out == 0 && (i == cache || c.owes_since >= since);
+            let idle = |i: usize, c: &Known| c.out == 0 && (i == cache || c.owes_since > since);
             let caches = router.caches.iter().enumerate().filter(|(i, c)| idle(*i, c));
             caches.for_each(|(i, _)| out.give_back(i));
         }
