After a failed call the list is watched on, and not rested from

A watch goes on for 200 ms after one, and what changes in between counts as told (PROTOCOL, Discovery).

At fault: `list_changes` in policy.rs, which asked later after an answer while `watch_fails` was above 1, and `watch` in platform/list.rs, which returned where the router rested. Both are gone; the wait after the next failure is still halved by an answer only.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -388,11 +388,6 @@
         router.watch_failed(desk);
     }
 
-    /// Whether the list is to be asked only once the router wants it again.
-    pub fn list_rests(&self) -> bool {
-        self.router.rests_from_list()
-    }
-
     /// When the router is to be woken next.
     pub fn next_wake(&self) -> Option<Tenths> {
         self.desk.wakes.peek().map(|Reverse((due, ..))| *due)
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -128,22 +128,21 @@
         let fault = loop {
             // A list that has moved is asked for all it has, at once: the old address may still hold a watch open.
             let over = async { Some(watch(&core, &source, &mut held).await) };
-            let elsewhere = async { source.moved.recv().await.err().map(|e| Some(e.to_string())) };
+            let elsewhere = async { source.moved.recv().await.err().map(|e| e.to_string()) };
             if let Some(fault) = over.or(elsewhere).await {
                 break fault;
             }
             held.since = false; // another service may have another history
         };
         core.list_had();
-        if let Some(fault) = fault {
-            flow::list_lost(&core);
-            warn!(core.log, "list call failed"; "fault" => fault);
-        }
+        flow::list_lost(&core);
+        warn!(core.log, "list call failed"; "fault" => fault);
     }
 }
 
-/// Calls until one fails, which it returns, or until the router wants the next one later.
-async fn watch(core: &Rc<Core>, source: &Source, held: &mut Held) -> Option<String> {
+/// Calls again at once after each answer, until one fails, which it returns. A watch goes on for 200 ms after an answer, and
+/// what changes in that time counts as told: whoever rested from it would send to caches that he was told are draining.
+async fn watch(core: &Rc<Core>, source: &Source, held: &mut Held) -> String {
     let mut link = None;
     loop {
         let (target, wait) = held.next_call();
@@ -153,10 +152,7 @@
         // answer, has the whole list asked for.
         held.since = matches!(&said, Err(fault) if held.since && fault == BUSY);
         if let Err(fault) = said.and_then(|said| hear(core, held, &said)) {
-            return Some(fault);
-        }
-        if core.book.borrow().list_rests() {
-            return None;
+            return fault;
         }
     }
 }
--- a/crates/policy/src/asked.rs
+++ b/crates/policy/src/asked.rs
@@ -20,11 +20,6 @@
         self.barred.contains_key(id) || (0..self.caches.len()).any(|i| self.caches[i].id == id && listed(i))
     }
 
-    /// Whether the next call for the list waits until it is asked for.
-    pub fn rests_from_list(&self) -> bool {
-        self.watch_fails > 0
-    }
-
     /// Whether nothing will name this cache any more, so that its place may be another's.
     pub fn done_with(&self, cache: Cache) -> bool {
         let c = &self.caches[cache];
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -152,15 +152,12 @@
     }
 
     pub fn list_changes(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
-        // Back by steps: while calls failed lately, the list is asked at intervals and not watched, as each
-        // change of it brings all who watch back at once.
-        let fails = self.watch_fails;
-        self.watch_fails = fails.saturating_sub(1);
-        match fails {
-            0 => {}
-            1 => out.log("list watch is back", ""),
-            _ => self.ask_later(out),
+        // The watch goes on: what changes just after an answer counts as told, asked for or not. A call that
+        // fails again is followed by half of the wait before.
+        if self.watch_fails == 1 {
+            out.log("list watch is back", "");
         }
+        self.watch_fails = self.watch_fails.saturating_sub(1);
         for e in entries {
             let known = self.caches.len().max(e.cache + 1);
             self.caches.resize_with(known, Known::default);
