A silent list is asked anew in time, and no bad answer loses a drain

At fault: `WATCH + CALL` in platform/list.rs. Now a call without an answer half of the grace after its wait is made anew on a connection of its own, so that the new one is heard within the grace even if it waits 2 s for its turn; the old one is heard until then. Watches wait 5 to 10 s by chance: begun together after a change, they ended together, and late answers look like silence. Decided in platform/terms.rs, no I/O.

An unknown state is none in which to be asked. An old list's drains count; after a move no version is old. - a shot decided before the notice was written up to nine tenths of the grace after it: now not at all. - a connection to the list that never comes up ends after 2 s, not with the call.

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -237,11 +237,11 @@
     Ok(conn)
 }
 
-/// Whether a shot may still be written to the cache: never to one that was told to be off past the grace.
+/// Whether a shot may still be written to the cache: not to one that was told to be off since the shot was decided. The grace
+/// is for what can't be helped; how much of it is over is not known here to the moment, as the notice may have waited to be
+/// read. A shot so stopped surely has not run, and goes elsewhere.
 fn open_to(core: &Core, cache: Cache) -> bool {
-    let off = core.book.borrow().off_since(cache);
-    // Nine tenths of the grace: the write itself takes time.
-    off.is_none_or(|since| core.clock.now() < since + core.rules.drain_grace.get() * 9 / 10)
+    core.book.borrow().off_since(cache).is_none()
 }
 
 /// A connection to the cache, from the pool or new; else how the shot ends that wanted it.
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -47,6 +47,12 @@
         self.index.get(id).copied()
     }
 
+    /// Whether the cache of this line is in service as far as was told, and has not started since the line was true.
+    pub fn serves(&self, line: &Line) -> bool {
+        let row = self.place(&line.id).map(|cache| &self.rows[cache]);
+        row.is_some_and(|row| row.off_since.is_none() && row.born <= line.born)
+    }
+
     /// Caches that are off.
     pub fn off(&self) -> impl Iterator<Item = Cache> {
         self.rows.iter().enumerate().filter(|(_, row)| row.off_since.is_some()).map(|(cache, _)| cache)
--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -15,7 +15,7 @@
 }
 use Form::*;
 
-const NAMED: [(&str, &str, Form); 23] = [
+const NAMED: [(&str, &str, Form); 24] = [
     ("position", "position", Number),
     ("balancers", "proxies", Number),
     ("excessUtility", "excess utility", Number),
@@ -31,6 +31,7 @@
     ("ceilings.connIdleNs", "idle time", Time),
     ("ceilings.connectTimeoutNs", "connect time", Time),
     ("rules.drainGraceNs", "drain grace", Time),
+    ("rules.askEveryNs", "ask time", Time),
     ("rules.startCapacity", "cold share", Number),
     ("rules.coldNs", "cold time", Time),
     ("rules.fallMultiple", "fall multiple", Number),
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -7,6 +7,7 @@
 
 use chalkwalk_net::{Held, Room, more, more_of, wait_until, within, write_all};
 use smol::{Async, Timer};
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
 use std::time::{Duration, Instant};
@@ -313,6 +314,14 @@
     }
 }
 
+/// Asks for something; the answer is still to be taken.
+pub async fn ask(stream: &Async<TcpStream>, addr: SocketAddr, target: &str) -> io::Result<()> {
+    let host = addr.to_string();
+    let parts: [&[u8]; 5] =
+        [b"GET ", target.as_bytes(), b" HTTP/1.1\r\nHost: ", host.as_bytes(), b"\r\n\r\n"];
+    write_all(stream, &parts).await
+}
+
 /// Asks for something and takes the answer.
 pub async fn get(
     stream: &Async<TcpStream>,
@@ -320,10 +329,7 @@
     target: &str,
     longest: usize,
 ) -> Result<Message, String> {
-    let host = addr.to_string();
-    let parts: [&[u8]; 5] =
-        [b"GET ", target.as_bytes(), b" HTTP/1.1\r\nHost: ", host.as_bytes(), b"\r\n\r\n"];
-    write_all(stream, &parts).await.map_err(|e| format!("not written: {e}"))?;
+    ask(stream, addr, target).await.map_err(|e| format!("not written: {e}"))?;
     answer(stream, longest).await.map_err(|_| "a broken answer".to_string())
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod list;
 mod shape;
+mod terms;
 
 pub use list::{Source, follow, known};
 pub use shape::Shape;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -1,30 +1,27 @@
 //! The platform's list: which caches there are. Starts from what was known, then the whole list and a watch.
 
-use crate::address;
+use crate::{address, terms};
+use chalkwalk_core::clock::span;
 use chalkwalk_core::core::Core;
 use chalkwalk_core::flow;
 use chalkwalk_core::members::Line;
 use chalkwalk_house::fields::{Object, Read, flag, list, object, size, text, text_or, whole, whole_or};
-use chalkwalk_http1 as http1;
+use chalkwalk_http1::{self as http1, Answering};
 use chalkwalk_net::{quiet, within};
 use chalkwalk_policy::{Standing, Tenths};
 use serde_json::Value;
-use slog::warn;
-use smol::Async;
+use slog::{info, warn};
 use smol::channel::{Receiver, Sender, bounded};
-use smol::future::FutureExt;
+use smol::future::{FutureExt, pending};
+use smol::{Async, Timer};
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
-
-/// How long a watch may wait: half of the 20 s in the protocol's example, so that one that has gone silent is
-/// noticed while the list is still young.
-const WATCH: Duration = Duration::from_secs(10);
-/// How long a call may take beside. The list is one small service for all, and works through its calls in turn: where it
-/// is asked for more than it can do, whoever is let in waits as long as it allows (2 s). A call given up before is work
-/// done for nobody, and each of a hundred proxies asks again: so twice that.
-const CALL: Duration = Duration::from_secs(4);
+use std::time::{Duration, Instant};
+
+/// How long the list's service may take to be reached: a machine that is cut off never answers.
+const REACHED: Duration = Duration::from_secs(2);
 /// The longest list: 400 bytes a line hold ten thousand caches.
 const LONGEST: usize = 4 << 20;
 /// So many older answers in a row are the truth: the list has started again.
@@ -44,14 +41,16 @@
     doubted: Option<Tenths>, // since when its versions are below the highest
     /// The next call is answered at once, though nothing is newer: a process that takes over serves once it knows so.
     at_once: bool,
+    /// The last answer made no sense.
+    odd: bool,
 }
 
-fn standing(state: &str) -> Read<Standing> {
+/// A state that this proxy does not know is none in which a cache is to be asked.
+fn standing(state: &str) -> Standing {
     match state {
-        "SERVING" => Ok(Standing::Ready),
-        "DRAINING" => Ok(Standing::Draining),
-        "DELETED" => Ok(Standing::Gone),
-        other => Err(format!("field state: expected a state of a cache, got \"{other}\"")),
+        "SERVING" => Standing::Ready,
+        "DELETED" => Standing::Gone,
+        _ => Standing::Draining,
     }
 }
 
@@ -65,7 +64,7 @@
         kind: text_or(e, "kind", "")?.to_string(),
         cell: whole_or(e, "cell", 0)?,
         size: size(e, "weight")?,
-        standing: standing(text(e, "state")?)?,
+        standing: standing(text(e, "state")?),
         born: whole_or(e, "started_ms", 0)? * 10,
     })
 }
@@ -103,18 +102,33 @@
     }
 }
 
-/// Tells the core what a list says; nothing of one that is wrong anywhere.
+/// Tells the core what a list says. Of one that is wrong anywhere, only what it says is off.
 fn take(core: &Rc<Core>, said: &Object, whole_list: bool, doubted: bool) -> Read<()> {
-    let lines = list(said, "servers")?.iter().map(line).collect::<Read<Vec<_>>>()?;
+    let lines: Vec<Read<Line>> = list(said, "servers")?.iter().map(line).collect();
+    if lines.iter().any(Read::is_err) {
+        take_off(core, lines.iter().flatten());
+    }
+    let lines = lines.into_iter().collect::<Read<Vec<_>>>()?;
     flow::listed(core, &lines, whole_list, doubted);
     Ok(())
 }
 
+/// Takes of a list that is not believed otherwise what it says is draining or gone, where that is news: it was told, and the
+/// next list that is believed has the last word. Not of a cache that has started since.
+fn take_off<'a>(core: &Rc<Core>, lines: impl Iterator<Item = &'a Line>) {
+    let news = |line: &&Line| line.standing != Standing::Ready && core.book.borrow().members.serves(line);
+    let off: Vec<Line> = lines.filter(news).cloned().collect();
+    if !off.is_empty() {
+        flow::listed(core, &off, false, false);
+    }
+}
+
 /// Watches whenever the router asks for it, until a call fails; the router hears of that and asks again. `known`: the
 /// version of the list that was known at the start, from which the first call goes on. `at_once`: that one waits for no news.
 pub async fn follow(core: Rc<Core>, source: Rc<Source>, known: Option<u64>, at_once: bool) {
     let version = known.unwrap_or(0);
     let mut held = Held { version, since: known.is_some(), highest: version, at_once, ..Held::default() };
+    let mut chance = fastrand::Rng::with_seed(core.rules.seed);
     let mut first = true;
     loop {
         let wanted = async {
@@ -124,15 +138,17 @@
         let moved = async { source.moved.recv().await.is_err() };
         // Without any list there is nothing to serve from, nor to wait for.
         let nothing = std::mem::take(&mut first) && known.is_none();
-        held.since &= nothing || wanted.or(moved).await;
+        if !(nothing || wanted.or(moved).await) {
+            held.moved();
+        }
         let fault = loop {
             // A list that has moved is asked for all it has, at once: the old address may still hold a watch open.
-            let over = async { Some(watch(&core, &source, &mut held).await) };
+            let over = async { Some(watch(&core, &source, &mut held, &mut chance).await) };
             let elsewhere = async { source.moved.recv().await.err().map(|e| e.to_string()) };
             if let Some(fault) = over.or(elsewhere).await {
                 break fault;
             }
-            held.since = false; // another service may have another history
+            held.moved();
         };
         core.list_had();
         flow::list_lost(&core);
@@ -140,42 +156,122 @@
     }
 }
 
+/// Why a call brought nothing.
+enum Fault {
+    /// The service has too much to do.
+    Busy,
+    Failed(String),
+    /// It answered, and broke off: what was told by it is not known.
+    CutShort,
+}
+
+type Said = Result<Vec<u8>, Fault>;
+
+/// A call under way, until the answer's body is there.
+type Calling<'a> = Pin<Box<dyn Future<Output = Said> + 'a>>;
+
+enum Came {
+    Said(Said),
+    /// Of the call that seemed silent.
+    Older(Said),
+    Silent,
+}
+
 /// Calls again at once after each answer, until one fails, which it returns. A watch goes on for 200 ms after an answer, and
-/// what changes in that time counts as told: whoever rested from it would send to caches that he was told are draining.
-async fn watch(core: &Rc<Core>, source: &Source, held: &mut Held) -> String {
-    let mut link = None;
+/// what changes in that time counts as told: whoever rested from it would send to caches that he was told are draining. So it
+/// is after an answer that makes no sense as well, once in a row: then all of the list is asked for.
+///
+/// A call that seems silent is made anew, and heard until the new one is answered: it may have been slow.
+async fn watch(core: &Rc<Core>, source: &Source, held: &mut Held, chance: &mut fastrand::Rng) -> String {
+    let link = Cell::new(None);
+    let begin = |held: &Held, chance: &mut fastrand::Rng| -> (Calling, Instant) {
+        let (target, wait) = held.next_call(chance);
+        let link = &link;
+        let call = async move {
+            let said = within(terms::over(wait), call(source, link, &target)).await;
+            said.unwrap_or_else(|| Err(Fault::Failed("no answer in time".into())))
+        };
+        (Box::pin(call), Instant::now() + terms::silent(wait, span(core.rules.drain_grace.get())))
+    };
+    let mut older: Option<Calling> = None;
+    let (mut newer, mut silent) = begin(held, chance);
     loop {
-        let (target, wait) = held.next_call();
-        let said = within(wait + CALL, call(source, &mut link, &target)).await;
-        let said = said.unwrap_or_else(|| Err("no answer in time".into()));
-        // Only a service that has too much to do is surely the one that told this version; any other fault, and an old
-        // answer, has the whole list asked for.
-        held.since = matches!(&said, Err(fault) if held.since && fault == BUSY);
-        if let Err(fault) = said.and_then(|said| hear(core, held, &said)) {
-            return fault;
+        let came = {
+            let said = async { Came::Said((&mut newer).await) };
+            let of_older = async {
+                match &mut older {
+                    Some(call) => Came::Older(call.await),
+                    None => pending().await,
+                }
+            };
+            let over = async {
+                Timer::at(silent).await;
+                Came::Silent
+            };
+            said.or(of_older).or(over).await
+        };
+        let odd = match came {
+            Came::Said(Ok(body)) => hear(core, held, &body).err(),
+            Came::Said(Err(Fault::CutShort)) => Some("an answer cut short".to_string()),
+            // Only a service that has too much to do is surely the one that told this version; after any other fault the
+            // whole list is asked for.
+            Came::Said(Err(Fault::Busy)) => return "answered 503".into(),
+            Came::Said(Err(Fault::Failed(fault))) => {
+                held.since = false;
+                return fault;
+            }
+            Came::Older(said) => {
+                older = None;
+                if let Some(fault) = said.ok().and_then(|body| hear(core, held, &body).err()) {
+                    warn!(core.log, "list answer passed over"; "fault" => fault);
+                }
+                continue;
+            }
+            Came::Silent => {
+                info!(core.log, "list call silent, made anew");
+                let (call, at) = begin(held, chance);
+                (older, silent) = (Some(std::mem::replace(&mut newer, call)), at);
+                continue;
+            }
+        };
+        older = None;
+        if let Some(fault) = odd {
+            let again = held.since && !held.odd;
+            (held.since, held.odd) = (false, true);
+            if !again {
+                return fault;
+            }
+            warn!(core.log, "list answer passed over"; "fault" => fault);
+            Timer::after(terms::at_once(chance)).await;
         }
+        (newer, silent) = begin(held, chance);
     }
 }
 
-/// What a call that was turned away says in the log.
-const BUSY: &str = "answered 503";
-
 impl Held {
     /// Which call comes next, and how long it may wait for news.
-    fn next_call(&self) -> (String, Duration) {
-        let watch = if self.at_once { Duration::ZERO } else { WATCH };
+    fn next_call(&self, chance: &mut fastrand::Rng) -> (String, Duration) {
+        let watch = if self.at_once { Duration::ZERO } else { terms::watch(chance) };
         match self.since {
             true => (format!("/discovery/hosts?index={}&wait={}", self.version, watch.as_millis()), watch),
             false => ("/discovery/hosts".to_string(), Duration::ZERO),
         }
     }
+
+    /// The list is elsewhere from now on, which may have another history: whatever version it has is no older one, though
+    /// what it says is doubted where that is below the highest.
+    fn moved(&mut self) {
+        (self.since, self.version, self.older) = (false, 0, 0);
+    }
 }
 
-fn hear(core: &Rc<Core>, held: &mut Held, said: &Value) -> Read<()> {
-    let said = object(said, "the list")?;
+fn hear(core: &Rc<Core>, held: &mut Held, body: &[u8]) -> Read<()> {
+    let said: Value = serde_json::from_slice(body).map_err(|e| format!("no JSON: {e}"))?;
+    let said = object(&said, "the list")?;
     let version = whole(said, "version")?;
     if version < held.version && held.older < OLD_ANSWERS {
         held.older += 1;
+        take_off(core, list(said, "servers")?.iter().flat_map(line).collect::<Vec<_>>().iter());
         return Err(format!("an old list, {version} after {}", held.version));
     }
     let now = core.clock.now();
@@ -184,38 +280,49 @@
     take(core, said, flag(said, "full")?, doubted.is_some())?;
     core.list_heard();
     let highest = if since.is_some() && doubted.is_none() { version } else { held.highest.max(version) };
-    *held = Held { version, since: true, older: 0, highest, doubted, at_once: false };
+    let odd = held.odd && !held.since;
+    *held = Held { version, since: true, older: 0, highest, doubted, at_once: false, odd };
     Ok(())
 }
 
 /// One call; where a kept link turns out to be closed meanwhile, on a new one.
-async fn call(source: &Source, link: &mut Option<Async<TcpStream>>, target: &str) -> Read<Value> {
+async fn call(source: &Source, link: &Cell<Option<Async<TcpStream>>>, target: &str) -> Said {
     if let Some(kept) = link.take().filter(quiet)
         && let Ok(said) = ask(source, kept, link, target).await
     {
         return said;
     }
-    let stream = Async::<TcpStream>::connect(source.at.get()).await;
-    let stream = stream.map_err(|e| format!("no connection: {e}"))?;
-    ask(source, stream, link, target).await?
+    let stream = within(REACHED, Async::<TcpStream>::connect(source.at.get())).await;
+    let stream = stream.unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()));
+    let stream = stream.map_err(|e| Fault::Failed(format!("no connection: {e}")))?;
+    ask(source, stream, link, target).await.map_err(Fault::Failed)?
 }
 
-/// What the list says, or an `Err` outside if it said nothing whole.
+/// What the list says, or an `Err` outside if it said nothing.
 async fn ask(
     source: &Source,
     open: Async<TcpStream>,
-    link: &mut Option<Async<TcpStream>>,
+    link: &Cell<Option<Async<TcpStream>>>,
     target: &str,
-) -> Read<Read<Value>> {
-    let answer = http1::get(&open, source.at.get(), target, LONGEST).await?;
-    match answer.status {
+) -> Read<Said> {
+    http1::ask(&open, source.at.get(), target).await.map_err(|e| format!("not written: {e}"))?;
+    let mut answer = Answering::begin(&open).await.map_err(|_| "no answer".to_string())?;
+    match answer.message.status {
         200 => {}
-        503 => return Ok(Err(BUSY.into())),
-        other => return Ok(Err(format!("answered {other}"))),
+        503 => return Ok(Err(Fault::Busy)),
+        other => return Ok(Err(Fault::Failed(format!("answered {other}")))),
+    }
+    let mut body = Vec::new();
+    loop {
+        match answer.part(&open).await {
+            Ok(Some(part)) if body.len() + part.len() <= LONGEST => body.extend(part),
+            Ok(Some(_)) => return Ok(Err(Fault::Failed(format!("a list of over {LONGEST} bytes")))),
+            Ok(None) => break,
+            Err(_) => return Ok(Err(Fault::CutShort)),
+        }
     }
-    if !answer.close {
-        *link = Some(open);
+    if answer.keeps() {
+        link.set(Some(open));
     }
-    let said = serde_json::from_slice(answer.part(&answer.body));
-    Ok(said.map_err(|e| format!("no JSON: {e}")))
+    Ok(Ok(body))
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -217,9 +217,11 @@
 
     /// Asks for the list after 1 s, doubled up to 8 s at each failure and halved at each answer, from half to
     /// three halves of it by chance: the list is one small service for all, whose queue must run dry first.
-    /// At 8 s a hundred proxies make a dozen calls a second, and one that is back is known of in 12 s.
+    /// At 8 s a hundred proxies make a dozen calls a second, and one that is back is known of in 12 s. Sooner
+    /// where what was missed counts as told before.
     fn ask_later(&mut self, out: &mut dyn Carrier) {
-        let wait = (SECOND / 2) << self.watch_fails;
+        let (half, most) = self.house.list_rest;
+        let wait = (half << self.watch_fails).min(most);
         let by_chance = self.chance.below(wait);
         out.wake(WATCH_TOKEN, wait / 2 + by_chance);
     }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -513,6 +513,33 @@
     .assert_eq(&h.told());
 }
 
+/// Where the list is pushed, what is missed counts as told at once; where it is asked for, after a stated time.
+#[test]
+fn a_failed_call_for_the_list_is_repeated_while_what_it_missed_is_not_yet_told() {
+    let longest = [
+        vec![("watched", "0"), ("drain grace", "10000")],
+        vec![("watched", "0"), ("drain grace", "3000")],
+        vec![("watched", "1"), ("ask time", "20000")],
+        vec![("watched", "1"), ("ask time", "100000")],
+    ]
+    .map(|said| {
+        let mut h = house(&said);
+        for _ in 0..40 {
+            h.router.watch_failed(&mut h.trace);
+        }
+        let waits = h.told();
+        let waits =
+            waits.lines().filter_map(|l| l.strip_prefix("wake in ")?.strip_suffix(" ms")?.parse().ok());
+        format!("{said:?}: {} ms", waits.max().unwrap_or(0u64))
+    });
+    expect![[r#"
+        [("watched", "0"), ("drain grace", "10000")]: 369 ms
+        [("watched", "0"), ("drain grace", "3000")]: 110 ms
+        [("watched", "1"), ("ask time", "20000")]: 2955 ms
+        [("watched", "1"), ("ask time", "100000")]: 11823 ms"#]]
+    .assert_eq(&longest.join("\n"));
+}
+
 #[test]
 fn late_answers_shrink_a_room_until_it_takes_less_than_one() {
     let mut h = house(&[]);
