Lists of a thousand caches: rings built from what stays, no cap below 1,024

Need: other deployments, some hundreds of caches and up to 350 proxies, no cap below 1,024 on lists of either.

Gone through: every constant of the crates that run, and the index widths (caches are `usize` in the module and `u64` in captures). Below 1,024 was one: `MOST_INSTANCES`, 1,000 instances or seeds of the RESP door in an operator's file; 4,096 now, as a slot map has nodes.

The list's second connection takes one of the two descriptors to spare.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -16,7 +16,7 @@
 const JUST_USED: Duration = Duration::from_millis(50);
 
 /// What is open besides: standard streams, epoll, its timer and event, the signals' pair, the listener, 11 in all as
-/// counted; the list's connection, which waits for no place; one that waits for its place, and two to spare.
+/// counted; the list's two connections, which wait for no place; one that waits for its place, and one to spare.
 const BESIDES: usize = 15;
 
 pub type Permit = SemaphoreGuardArc;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -191,8 +191,8 @@
 
 /// Hash slots of the dialect, by its public specification.
 const SLOTS: u16 = 16384;
-/// Instances that clients are told of at the most, and servers that are asked first.
-const MOST_INSTANCES: usize = 1000;
+/// Instances that clients are told of at the most, and servers that are asked first: as many as a slot map has nodes.
+const MOST_INSTANCES: usize = 4096;
 
 fn hex(text: &str) -> Option<[u8; 32]> {
     let text = text.strip_prefix("sha256:").filter(|t| t.len() == 64 && t.is_ascii())?;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -194,17 +194,19 @@
         self.rings();
     }
 
-    /// 128 points a cache, as the design has it, from the id alone: all proxies build one ring.
+    /// 128 points a cache, as the design has it, from the id alone: all proxies build one ring. The points of
+    /// caches that stay are kept as they are: a place is another's only after it was gone, and had none.
     pub(crate) fn rings(&mut self) {
-        let mut rings = [Vec::new(), Vec::new(), Vec::new()];
-        for (i, c) in self.caches.iter().enumerate() {
-            if self.ready(i) {
-                rings[2].extend((0..128).map(|salt| (point(&c.id, salt + 1), i)));
-            }
+        let mut all = std::mem::take(&mut self.rings[2]);
+        let mut new: Vec<bool> = (0..self.caches.len()).map(|i| self.ready(i)).collect();
+        all.retain(|p| new[p.1]);
+        all.iter().for_each(|p| new[p.1] = false);
+        for (i, c) in self.caches.iter().enumerate().filter(|(i, _)| new[*i]) {
+            all.extend((0..128).map(|salt| (point(&c.id, salt + 1), i)));
         }
-        rings[2].sort_unstable();
-        (rings[0], rings[1]) = rings[2].iter().partition(|p| self.caches[p.1].zone == self.house.zone);
-        self.rings = rings;
+        all.sort(); // two runs, mostly
+        let (own, others) = all.iter().partition(|p| self.caches[p.1].zone == self.house.zone);
+        self.rings = [own, others, all];
     }
 
     pub fn watch_failed(&mut self, out: &mut dyn Carrier) {
@@ -217,8 +219,7 @@
 
     /// Asks for the list after 1 s, doubled up to 8 s at each failure and halved at each answer, from half to
     /// three halves of it by chance: the list is one small service for all, whose queue must run dry first.
-    /// At 8 s a hundred proxies make a dozen calls a second, and one that is back is known of in 12 s. Sooner
-    /// where what was missed counts as told before.
+    /// Sooner where what was missed counts as told before.
     fn ask_later(&mut self, out: &mut dyn Carrier) {
         let (half, most) = self.house.list_rest;
         let wait = (half << self.watch_fails).min(most);
