--- a/crates/lab/src/model/course.rs
+++ b/crates/lab/src/model/course.rs
@@ -70,6 +70,8 @@
     pub notices: Vec<Notice>,
     pub list_down: Vec<Range<Micros>>,
     pub list_old: Vec<Range<Micros>>,
+    /// Moments at which the calls that wait fall silent.
+    pub list_silent: Vec<Micros>,
 }
 
 /// The list finds out by its own calls that a machine is gone: some of those and a second more.
@@ -153,6 +155,7 @@
                 Kind::ZoneCut => all.cuts.extend(zone.map(|z| (span, z))),
                 Kind::ListDown => all.list_down.push(span),
                 Kind::ListOld => all.list_old.push(span),
+                Kind::ListSilent => all.list_silent.push(span.start),
                 Kind::ListLate => later.push((span, micros(t.by.unwrap_or(0.0)))),
                 // Proxies are not of this world: the fleet sees to them.
                 _ => {}
--- a/crates/lab/src/stand/list.rs
+++ b/crates/lab/src/stand/list.rs
@@ -3,7 +3,7 @@
 use super::{Site, lock};
 use crate::clock::{MILLI, Micros, SECOND, micros};
 use crate::evidence::What;
-use crate::model::course::SERVING;
+use crate::model::course::{DELETED, SERVING};
 use crate::model::listing::Line;
 use crate::wire::{Conn, answer_head};
 use serde_json::json;
@@ -15,6 +15,10 @@
 const OLD: Micros = 5 * SECOND;
 /// The longest that a watch waits, as the platform has it.
 const LONGEST_WATCH: Micros = 60 * SECOND;
+/// A watch goes on for so long after an answer, whether or not the next call comes, and what changes counts as told.
+const GOES_ON: Micros = 200 * MILLI;
+/// What a silent call has to tell counts as told so long after it fell silent, or after its wait, if that is later.
+const SILENT: (Micros, Micros) = (6 * SECOND, 2 * SECOND);
 
 pub async fn calls(site: &Site, proxy: usize, conn: &mut Conn) {
     while let Ok(call) = conn.question().await {
@@ -36,7 +40,16 @@
         if let Some(index) = index.filter(|i| *i >= site.listing.version(site.clock.now())) {
             let newer = site.listing.next(index).unwrap_or(Micros::MAX);
             let ends = site.courses.list_down.iter().map(|s| s.start).filter(|at| *at > now).min();
-            let until = newer.min(now + wait.min(LONGEST_WATCH)).min(ends.unwrap_or(Micros::MAX));
+            let wait = wait.min(LONGEST_WATCH);
+            let until = newer.min(now + wait).min(ends.unwrap_or(Micros::MAX));
+            let silent = site.courses.list_silent.iter().find(|at| (now..until).contains(at));
+            if let Some(from) = silent {
+                return or(
+                    missed(site, proxy, index, (from + SILENT.0).max(now + wait + SILENT.1)),
+                    conn.closed(),
+                )
+                .await;
+            }
             let waited = async {
                 site.clock.reach(until).await;
                 true
@@ -66,6 +79,26 @@
     Some(*free)
 }
 
+/// A call that has fallen silent: what it misses counts as told from that moment on.
+async fn missed(site: &Site, proxy: usize, index: u64, from: Micros) {
+    let mut at = index;
+    while let Some(change) = site.listing.next(at) {
+        site.clock.reach(change.max(from)).await;
+        let version = site.listing.version(site.clock.now());
+        count(site, proxy, &site.listing.since(at, version), site.clock.now());
+        at = version;
+    }
+    std::future::pending().await
+}
+
+/// What lines say of caches counts as told to a proxy at that moment.
+fn count(site: &Site, proxy: usize, lines: &[Line], at: Micros) {
+    for line in lines.iter().filter(|line| line.cache < site.origin()) {
+        let told = What::Told { cache: line.cache as u16, off: line.state != SERVING };
+        site.evidence.note_at(at, 0, proxy, told);
+    }
+}
+
 async fn tell(site: &Site, proxy: usize, conn: &Conn, index: Option<u64>) -> bool {
     let now = site.clock.now();
     let old = site.courses.list_old.iter().any(|span| span.contains(&now));
@@ -85,14 +118,20 @@
         // Nothing new is told by it, and nothing that was told is taken back.
         return true;
     }
-    let mut told: Vec<(usize, bool)> = lines.iter().map(|l| (l.cache, l.state != SERVING)).collect();
+    let now = site.clock.now();
+    count(site, proxy, &lines, now);
     if full {
-        let listed = |c: &usize| lines.iter().any(|l| l.cache == *c);
-        told.extend((0..site.origin()).filter(|c| !listed(c)).map(|c| (c, true)));
+        let gone = (0..site.origin()).filter(|c| !lines.iter().any(|l| l.cache == *c));
+        let gone: Vec<Line> = gone.map(|cache| Line { cache, state: DELETED, born: 0 }).collect();
+        count(site, proxy, &gone, now);
     }
-    let now = site.clock.now();
-    for (cache, off) in told.into_iter().filter(|(cache, _)| *cache < site.origin()) {
-        site.evidence.note_at(now, 0, proxy, What::Told { cache: cache as u16, off });
+    let mut at = version;
+    while index.is_some()
+        && let Some(change) = site.listing.next(at).filter(|change| *change <= now + GOES_ON)
+    {
+        let next = site.listing.version(change);
+        count(site, proxy, &site.listing.since(at, next), change);
+        at = next;
     }
     true
 }
