A list with no cache in service is a line in the log

Need: an empty list, or one on which all drain, has to be told plainly. The proxy kept to such lists and deferred, and said nothing. Now one line for each such answer; a test on sockets (drained, empty, silent, indented JSON) shows it, with no shot in between.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -376,6 +376,11 @@
         self.members.off_since(cache).into_iter().chain(self.router.barred_since(cache)).min()
     }
 
+    /// Whether there is no cache to be asked by what was told.
+    pub fn none_ready(&self) -> bool {
+        self.router.none_ready()
+    }
+
     /// Whether operators may mean a cache by this.
     pub fn has(&self, id: &str) -> bool {
         self.router.has(id)
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -110,6 +110,9 @@
     }
     let lines = lines.into_iter().collect::<Read<Vec<_>>>()?;
     flow::listed(core, &lines, whole_list, doubted);
+    if core.book.borrow().none_ready() {
+        warn!(core.log, "no cache in service by the list"; "lines" => lines.len());
+    }
     Ok(())
 }
 
--- a/crates/policy/src/asked.rs
+++ b/crates/policy/src/asked.rs
@@ -20,6 +20,11 @@
         self.barred.contains_key(id) || (0..self.caches.len()).any(|i| self.caches[i].id == id && listed(i))
     }
 
+    /// Whether no cache of any zone is to be asked by what was told: none is listed as in service, or operators took all out.
+    pub fn none_ready(&self) -> bool {
+        self.rings[2].is_empty()
+    }
+
     /// Whether nothing will name this cache any more, so that its place may be another's.
     pub fn done_with(&self, cache: Cache) -> bool {
         let c = &self.caches[cache];
--- a/crates/proxy/tests/sockets/lists.rs
+++ b/crates/proxy/tests/sockets/lists.rs
@@ -131,3 +131,36 @@
         GET /discovery/hosts"#]]
     .assert_eq(&calls(&asked).join("\n"));
 }
+
+/// A list with nothing in service, or with nothing on it, is told plainly and kept to; the next one is taken as it comes.
+#[test]
+fn a_list_without_a_cache_in_service_is_told_plainly() {
+    let told = Told::default();
+    let (listener, at) = a_listener();
+    stand_in(listener, told.clone(), "a", held);
+    let with = |state: &str| [line("a", at, state)];
+    let indented =
+        serde_json::to_string_pretty(&json!({"version": 4, "full": true, "servers": with("SERVING")}));
+    let (list_addr, asked) = service(vec![
+        Says(whole(2, &with("DRAINING"))),
+        Says(whole(3, &[])),
+        Silent,
+        Says(indented.unwrap()),
+    ]);
+    let addr = own_address();
+    let mut proxy = run(&configuration(addr, list_addr, &with("SERVING"), 1024), "");
+    let mut seen = Vec::new();
+    for calls_made in [3, 5] {
+        wait_for(|| calls(&asked).len() >= calls_made);
+        let mut client = TcpStream::connect(addr).unwrap();
+        let head =
+            format!("GET /api/k HTTP/1.1\r\nX-Correlation-Id: {calls_made}\r\nX-Service-Class: page\r\n");
+        client.write_all((head + "X-Time-Left: 1.0\r\n\r\n").as_bytes()).unwrap();
+        seen.push(message(&mut client).map_or("lost".into(), |(head, _)| head[9..12].to_string()));
+    }
+    proxy.kill().unwrap();
+    let log = String::from_utf8(proxy.wait_with_output().unwrap().stderr).unwrap();
+    seen.push(format!("{} shots", calls(&told).len()));
+    seen.push(format!("{} lines of it", log.matches("no cache in service by the list").count()));
+    expect!["503, 200, 1 shots, 2 lines of it"].assert_eq(&seen.join(", "));
+}
