--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -311,10 +311,10 @@
         let ring = if l.order.is_some() { &[][..] } else { &self.rings[ring][..] };
         let mut zone: Vec<Cache> = l.order.clone().unwrap_or_default();
         zone.retain(|c| self.ready(*c));
-        let start = ring.partition_point(|p| p.0 < l.key);
+        let (mut seen, start) = (vec![false; self.caches.len()], ring.partition_point(|p| p.0 < l.key));
         for i in 0..ring.len() {
             let cache = ring[(start + i) % ring.len()].1;
-            if !zone.contains(&cache) {
+            if !std::mem::replace(&mut seen[cache], true) {
                 zone.push(cache);
                 if zone.len() * 128 == ring.len() {
                     break;
