--- a/crates/proxy/tests/sockets/lists.rs
+++ b/crates/proxy/tests/sockets/lists.rs
@@ -164,3 +164,37 @@
     seen.push(format!("{} lines of it", log.matches("no cache in service by the list").count()));
     expect!["503, 200, 1 shots, 2 lines of it"].assert_eq(&seen.join(", "));
 }
+
+/// A list that has gone back to an old state is not believed, but what drains by it is off at once: it may have started again
+/// with new news.
+#[test]
+fn a_drain_in_an_older_list_counts() {
+    let told = Told::default();
+    let mut lines = Vec::new();
+    for name in ["a", "b"] {
+        let (listener, addr) = a_listener();
+        lines.push(line(name, addr, "SERVING"));
+        stand_in(listener, told.clone(), name, held);
+    }
+    let mut drained = lines.clone();
+    drained[1]["state"] = json!("DRAINING");
+    let (list_addr, asked) = service(vec![Says(whole(9, &lines)), Says(whole(3, &drained)), Silent]);
+    let addr = own_address();
+    let mut proxy = run(&configuration(addr, list_addr, &lines, 1024), "");
+    wait_for(|| calls(&asked).len() >= 3);
+    let mut client = TcpStream::connect(addr).unwrap();
+    for i in 0..20 {
+        let head = format!("GET /api/k{i} HTTP/1.1\r\nX-Correlation-Id: {i}\r\nX-Service-Class: page\r\n");
+        client.write_all((head + "X-Time-Left: 1.0\r\n\r\n").as_bytes()).unwrap();
+        assert!(message(&mut client).is_some());
+    }
+    proxy.kill().unwrap();
+    proxy.wait().unwrap();
+    let of = |name: &str| calls(&told).iter().filter(|line| line.starts_with(name)).count();
+    expect!["20 to a, 0 to b"].assert_eq(&format!("{} to a, {} to b", of("a:"), of("b:")));
+    expect![[r#"
+        GET /discovery/hosts?index=1&wait
+        GET /discovery/hosts?index=9&wait, going on
+        GET /discovery/hosts, going on"#]]
+    .assert_eq(&calls(&asked).join("\n"));
+}
