--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -341,17 +341,11 @@
         router.probed(cache, answered, desk);
     }
 
-    /// Takes what a list says; `told` is when it was written to this proxy. Returns the caches that are off.
-    pub fn listed(
-        &mut self,
-        now: Tenths,
-        lines: &[Line],
-        (whole_list, doubted): (bool, bool),
-        told: Tenths,
-    ) -> Vec<Cache> {
+    /// Takes what a list says. Returns the caches that are off.
+    pub fn listed(&mut self, now: Tenths, lines: &[Line], (whole_list, doubted): (bool, bool)) -> Vec<Cache> {
         self.desk.now = now;
         self.router.clock(now);
-        let entries = self.members.take(lines, whole_list, doubted, told);
+        let entries = self.members.take(lines, whole_list, doubted);
         if let Some(tape) = &mut self.desk.tape {
             tape.listed(now, whole_list, &entries);
         }
@@ -371,9 +365,9 @@
         self.members.place(id)
     }
 
-    /// Since when a cache gets nothing new: draining or gone, as told, or left out by operators.
-    pub fn off_since(&self, cache: Cache) -> Option<Tenths> {
-        self.members.off_since(cache).into_iter().chain(self.router.barred_since(cache)).min()
+    /// Whether a cache gets nothing new: draining or gone, as told, or left out by operators.
+    pub fn is_off(&self, cache: Cache) -> bool {
+        self.members.is_off(cache) || self.router.is_barred(cache)
     }
 
     /// Whether there is no cache to be asked by what was told.
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -51,9 +51,7 @@
 /// A source tells what the list says: the whole of it, or what changed. A doubted one brings no cache back that was told
 /// to be off.
 pub fn listed(core: &Rc<Core>, lines: &[Line], whole_list: bool, doubted: bool) {
-    // Told when it was written to this proxy, which a standstill may have kept from reading it.
-    let told = core.clock.came_after();
-    let off = tell(core, |book, now| book.listed(now, lines, (whole_list, doubted), told));
+    let off = tell(core, |book, now| book.listed(now, lines, (whole_list, doubted)));
     off.into_iter().for_each(|cache| core.pool.forget(cache));
 }
 
@@ -227,7 +225,9 @@
 async fn write(core: &Core, shooting: &Shooting) -> Result<Rc<Conn>, Ending> {
     let Shooting { cache, until, ask, shaft, .. } = shooting;
     let conn = Rc::new(connection(core, *cache, false).await?);
-    if !open_to(core, *cache) {
+    // Told since the shot was decided. The grace is for what can't be helped, and how much of it is over is not known here to the
+    // moment, as the notice may have waited to be read. A shot so stopped surely has not run, and goes elsewhere.
+    if core.book.borrow().is_off(*cache) {
         return Err(Ending::Unsent);
     }
     shaft.hold(Some(conn.clone()));
@@ -237,13 +237,6 @@
     Ok(conn)
 }
 
-/// Whether a shot may still be written to the cache: not to one that was told to be off since the shot was decided. The grace
-/// is for what can't be helped; how much of it is over is not known here to the moment, as the notice may have waited to be
-/// read. A shot so stopped surely has not run, and goes elsewhere.
-fn open_to(core: &Core, cache: Cache) -> bool {
-    core.book.borrow().off_since(cache).is_none()
-}
-
 /// A connection to the cache, from the pool or new; else how the shot ends that wanted it.
 async fn connection(core: &Core, cache: Cache, fresh: bool) -> Result<Conn, Ending> {
     let Some(addr) = core.book.borrow().members.addr(cache) else {
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -8,7 +8,7 @@
 /// What the core itself needs of a cache.
 struct Row {
     addr: SocketAddr,
-    off_since: Option<Tenths>, // draining or gone, as told
+    off: bool, // draining or gone, as told
     born: Tenths,
 }
 
@@ -32,14 +32,13 @@
 
     /// The caches in service at these addresses, in that order.
     pub fn at(&self, addrs: &[SocketAddr]) -> Vec<Cache> {
-        let at =
-            |addr: &SocketAddr| self.rows.iter().position(|row| row.addr == *addr && row.off_since.is_none());
+        let at = |addr: &SocketAddr| self.rows.iter().position(|row| row.addr == *addr && !row.off);
         addrs.iter().filter_map(at).collect()
     }
 
-    /// Since when a cache is draining or gone, as told.
-    pub fn off_since(&self, cache: Cache) -> Option<Tenths> {
-        self.rows.get(cache).and_then(|row| row.off_since)
+    /// Whether a cache is draining or gone, as told.
+    pub fn is_off(&self, cache: Cache) -> bool {
+        self.rows.get(cache).is_some_and(|row| row.off)
     }
 
     /// The place of a cache, if it has one.
@@ -50,26 +49,20 @@
     /// Whether the cache of this line is in service as far as was told, and has not started since the line was true.
     pub fn serves(&self, line: &Line) -> bool {
         let row = self.place(&line.id).map(|cache| &self.rows[cache]);
-        row.is_some_and(|row| row.off_since.is_none() && row.born <= line.born)
+        row.is_some_and(|row| !row.off && row.born <= line.born)
     }
 
     /// Caches that are off.
     pub fn off(&self) -> impl Iterator<Item = Cache> {
-        self.rows.iter().enumerate().filter(|(_, row)| row.off_since.is_some()).map(|(cache, _)| cache)
+        self.rows.iter().enumerate().filter(|(_, row)| row.off).map(|(cache, _)| cache)
     }
 
     /// Takes what a list says, and returns it by index for the router. Of a doubted one a cache is not ready that was told
     /// to be off and has not started since.
-    pub fn take<'a>(
-        &mut self,
-        lines: &'a [Line],
-        whole_list: bool,
-        doubted: bool,
-        told: Tenths,
-    ) -> Vec<Entry<'a>> {
-        let was_off: Vec<bool> = self.rows.iter().map(|row| row.off_since.is_some()).collect();
+    pub fn take<'a>(&mut self, lines: &'a [Line], whole_list: bool, doubted: bool) -> Vec<Entry<'a>> {
+        let was_off: Vec<bool> = self.rows.iter().map(|row| row.off).collect();
         if whole_list {
-            self.rows.iter_mut().for_each(|row| _ = row.off_since.get_or_insert(told));
+            self.rows.iter_mut().for_each(|row| row.off = true);
         }
         let entry = |line: &'a Line| {
             let cache = self.row(&line.id, line.addr);
@@ -77,10 +70,7 @@
             let stays_off = doubted && was_off.get(cache) == Some(&true) && line.born <= row.born;
             let standing = if stays_off { Standing::Draining } else { line.standing };
             (row.addr, row.born) = (line.addr, line.born);
-            row.off_since = match standing {
-                Standing::Ready => None,
-                _ => row.off_since.or(Some(told)),
-            };
+            row.off = standing != Standing::Ready;
             let zone = self.zones.iter().position(|z| *z == line.zone).unwrap_or_else(|| {
                 self.zones.push(line.zone.clone());
                 self.zones.len() - 1
@@ -117,7 +107,7 @@
         }
         let cache = self.free.pop().unwrap_or(self.rows.len());
         self.index.insert(id.to_string(), cache);
-        let row = Row { addr, off_since: None, born: 0 };
+        let row = Row { addr, off: false, born: 0 };
         match self.rows.get_mut(cache) {
             Some(place) => *place = row,
             None => self.rows.push(row),
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -20,8 +20,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long the list's service may take to be reached: a machine that is cut off never answers.
-const REACHED: Duration = Duration::from_secs(2);
 /// The longest list: 400 bytes a line hold ten thousand caches.
 const LONGEST: usize = 4 << 20;
 /// So many older answers in a row are the truth: the list has started again.
@@ -225,6 +223,7 @@
             }
             Came::Older(said) => {
                 older = None;
+                // Where it failed, the newer one is there.
                 if let Some(fault) = said.ok().and_then(|body| hear(core, held, &body).err()) {
                     warn!(core.log, "list answer passed over"; "fault" => fault);
                 }
@@ -295,7 +294,8 @@
     {
         return said;
     }
-    let stream = within(REACHED, Async::<TcpStream>::connect(source.at.get())).await;
+    // A machine that is cut off never answers; one that is there does so sooner than it lets a call wait.
+    let stream = within(terms::TURN, Async::<TcpStream>::connect(source.at.get())).await;
     let stream = stream.unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()));
     let stream = stream.map_err(|e| Fault::Failed(format!("no connection: {e}")))?;
     ask(source, stream, link, target).await.map_err(Fault::Failed)?
--- a/crates/policy/src/asked.rs
+++ b/crates/policy/src/asked.rs
@@ -9,9 +9,9 @@
         self.house.namespaces.len()
     }
 
-    /// Since when operators have a cache out, if they do.
-    pub fn barred_since(&self, cache: Cache) -> Option<Tenths> {
-        self.caches.get(cache).and_then(|c| self.barred.get(&c.id).copied())
+    /// Whether operators have a cache out.
+    pub fn is_barred(&self, cache: Cache) -> bool {
+        self.caches.get(cache).is_some_and(|c| self.barred.contains_key(&c.id))
     }
 
     /// Whether operators may mean this cache: it is listed, or was taken out. The origin is none.
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -69,8 +69,9 @@
     pub proxies: u64,
     /// Half of how long the list is left alone after a failed call, and how long it is at the most.
     pub list_rest: (Tenths, Tenths),
-    pub through: bool, // caches fetch for themselves
-    pub sizes: bool,   // what the list says of them is their own, and not their load of the moment
+    pub other_kinds: usize, // as which all kinds without a name go: as many as the house names, and 63 at the least
+    pub through: bool,      // caches fetch for themselves
+    pub sizes: bool,        // what the list says of them is their own, and not their load of the moment
     pub origin_kind: Option<usize>,
     pub key_quiet: Tenths, // a key rests after a shot that may still run, where its lookups run in order
 
@@ -110,13 +111,15 @@
         };
         // A proxy that neither watches nor asks is held to the list it has for the stated time, and one whose call failed for
         // four times as long. Where the list is pushed, what this proxy's own agent has counts as told at once, and only the
-        // grace runs: a quarter of it leaves time for one more try.
-        let list_rest = match num("watched", 0.0) > 0.0 {
+        // grace runs: a quarter of it leaves time for one more try. Never less than half of the first rest, whatever is stated,
+        // or calls that fail at once would spin.
+        let (half, most) = match num("watched", 0.0) > 0.0 {
             true => (5000, num("ask time", 1e5) as Tenths),
             false => (500, num("drain grace", 1e4) as Tenths / 4),
         };
         HouseRules {
-            list_rest,
+            list_rest: (half, most.max(half)),
+            other_kinds: num("kinds", 0.0).max(63.0) as usize,
             zone: num("zone", 0.0) as usize,
             probes: num("probes", 0.0) > 0.0,
             withdrawals: num("withdrawals", 0.0) > 0.0,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -13,7 +13,6 @@
 const SECOND: Tenths = 10_000;
 const CACHE_TOKEN: u64 = 1 << 61; // wakes below this are lookups, from here on caches
 const WATCH_TOKEN: u64 = 1 << 62;
-const OTHER_KINDS: usize = 63; // and those that have no name: more than any house keeps apart
 const LONGEST_LINE: usize = 100; // behind one key: more than ever come to their turn while they are useful
 
 impl HouseRules {
@@ -173,7 +172,7 @@
             }
             // Never back: one that operators put back has started since, though no list knows it yet.
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born.max(c.born));
-            c.kind = e.kind.min(OTHER_KINDS);
+            c.kind = e.kind.min(self.house.other_kinds);
             self.kinds.resize(self.kinds.len().max(c.kind + 1), (0, 1000));
             c.size = if self.house.sizes { e.size.max(1) } else { 1 };
             if Some(e.kind) == self.house.origin_kind {
