The lab counts no list as told to a process that is gone

The lab noted the next 200 ms of a watch at once, and wrote answers to calls whose process had died; the next process was judged by both. Ruled out: the proxy (its new process had not been told by any call).

At fault: `tell` in the lab's stand/list.rs. Changes within the 200 ms are noted as they come, and nothing is that belongs to a call from before the process was killed or ended (`Evidence::gone_since`).

--- a/crates/lab/src/evidence.rs
+++ b/crates/lab/src/evidence.rs
@@ -103,6 +103,7 @@
     events: Vec<Event>,
     asks: HashMap<Id, Ask>,
     shot: HashSet<Id>,
+    gone: HashMap<usize, Micros>, // when each proxy's process was last killed, or ended
     any: bool,
 }
 
@@ -132,6 +133,9 @@
         if matches!(what, What::Shot { .. }) {
             kept.shot.insert(id);
         }
+        if matches!(what, What::Signalled { signal: "KILL" } | What::Ended { .. }) {
+            kept.gone.insert(proxy, at);
+        }
         kept.events.push(Event { at, id, proxy: proxy as Index, what });
     }
 
@@ -155,6 +159,11 @@
         self.kept().shot.contains(&id)
     }
 
+    /// Whether a proxy's process was killed, or ended, since that moment.
+    pub fn gone_since(&self, proxy: usize, at: Micros) -> bool {
+        self.kept().gone.get(&proxy).is_some_and(|gone| *gone >= at)
+    }
+
     /// All of it, in order of time, at the end of a run.
     pub fn take(&self) -> (Vec<Event>, HashMap<Id, Ask>) {
         let mut kept = self.kept();
--- a/crates/lab/src/stand/list.rs
+++ b/crates/lab/src/stand/list.rs
@@ -21,7 +21,23 @@
 const SILENT: (Micros, Micros) = (6 * SECOND, 2 * SECOND);
 
 pub async fn calls(site: &Site, proxy: usize, conn: &mut Conn) {
-    while let Ok(call) = conn.question().await {
+    let mut told = None;
+    loop {
+        let call = match told {
+            None => conn.question().await,
+            Some((version, at)) => {
+                let goes_on = async {
+                    going_on(site, proxy, version, at).await;
+                    std::future::pending().await
+                };
+                let call = or(conn.question(), goes_on).await;
+                if call.is_err() {
+                    going_on(site, proxy, version, at).await;
+                }
+                call
+            }
+        };
+        let Ok(call) = call else { return };
         let now = site.clock.now();
         let down = |now: Micros| site.courses.list_down.iter().find(|span| span.contains(&now)).cloned();
         if down(now).is_some() {
@@ -34,6 +50,7 @@
         let (index, wait) = (part("index"), part("wait").unwrap_or(0).saturating_mul(MILLI));
         let Some(turn) = turn(site, now) else {
             _ = conn.write(&[answer_head(503, 0, "").as_bytes()]).await;
+            told = None;
             continue;
         };
         site.clock.reach(turn).await;
@@ -45,7 +62,7 @@
             let silent = site.courses.list_silent.iter().find(|at| (now..until).contains(at));
             if let Some(from) = silent {
                 return or(
-                    missed(site, proxy, index, (from + SILENT.0).max(now + wait + SILENT.1)),
+                    missed(site, proxy, now, index, (from + SILENT.0).max(now + wait + SILENT.1)),
                     conn.closed(),
                 )
                 .await;
@@ -62,9 +79,8 @@
                 return;
             }
         }
-        if !tell(site, proxy, conn, index).await {
-            return;
-        }
+        let Some(version) = tell(site, proxy, conn, now, index).await else { return };
+        told = index.map(|_| (version, site.clock.now()));
     }
 }
 
@@ -80,26 +96,42 @@
 }
 
 /// A call that has fallen silent: what it misses counts as told from that moment on.
-async fn missed(site: &Site, proxy: usize, index: u64, from: Micros) {
+async fn missed(site: &Site, proxy: usize, called: Micros, index: u64, from: Micros) {
     let mut at = index;
     while let Some(change) = site.listing.next(at) {
         site.clock.reach(change.max(from)).await;
         let version = site.listing.version(site.clock.now());
-        count(site, proxy, &site.listing.since(at, version), site.clock.now());
+        count(site, proxy, called, &site.listing.since(at, version), site.clock.now());
         at = version;
     }
     std::future::pending().await
 }
 
-/// What lines say of caches counts as told to a proxy at that moment.
-fn count(site: &Site, proxy: usize, lines: &[Line], at: Micros) {
+/// After a watch's answer at that moment, of that version: what changes while it goes on counts as told.
+async fn going_on(site: &Site, proxy: usize, version: u64, answered: Micros) {
+    let mut at = version;
+    while let Some(change) = site.listing.next(at).filter(|change| *change <= answered + GOES_ON) {
+        site.clock.reach(change).await;
+        let next = site.listing.version(change);
+        count(site, proxy, answered, &site.listing.since(at, next), change);
+        at = next;
+    }
+}
+
+/// What lines say of caches counts as told to a proxy at that moment, unless the process that called then is gone by now: what
+/// is written to it is told to nobody.
+fn count(site: &Site, proxy: usize, called: Micros, lines: &[Line], at: Micros) {
+    if site.evidence.gone_since(proxy, called) {
+        return;
+    }
     for line in lines.iter().filter(|line| line.cache < site.origin()) {
         let told = What::Told { cache: line.cache as u16, off: line.state != SERVING };
         site.evidence.note_at(at, 0, proxy, told);
     }
 }
 
-async fn tell(site: &Site, proxy: usize, conn: &Conn, index: Option<u64>) -> bool {
+/// Answers, and returns the version that is told by it; none where the connection is gone.
+async fn tell(site: &Site, proxy: usize, conn: &Conn, called: Micros, index: Option<u64>) -> Option<u64> {
     let now = site.clock.now();
     let old = site.courses.list_old.iter().any(|span| span.contains(&now));
     let version = site.listing.version(if old { now.saturating_sub(OLD) } else { now });
@@ -112,28 +144,20 @@
     let text = json!({"version": version, "full": full, "servers": servers}).to_string();
     let head = answer_head(200, text.len(), "Content-Type: application/json\r\n");
     if conn.write(&[head.as_bytes(), text.as_bytes()]).await.is_err() {
-        return false;
+        return None;
     }
     if old {
         // Nothing new is told by it, and nothing that was told is taken back.
-        return true;
+        return Some(version);
     }
     let now = site.clock.now();
-    count(site, proxy, &lines, now);
+    count(site, proxy, called, &lines, now);
     if full {
         let gone = (0..site.origin()).filter(|c| !lines.iter().any(|l| l.cache == *c));
         let gone: Vec<Line> = gone.map(|cache| Line { cache, state: DELETED, born: 0 }).collect();
-        count(site, proxy, &gone, now);
-    }
-    let mut at = version;
-    while index.is_some()
-        && let Some(change) = site.listing.next(at).filter(|change| *change <= now + GOES_ON)
-    {
-        let next = site.listing.version(change);
-        count(site, proxy, &site.listing.since(at, next), change);
-        at = next;
+        count(site, proxy, called, &gone, now);
     }
-    true
+    Some(version)
 }
 
 impl Site {
