Connections rest after an answer; nothing is begun for a lookup that is over; ends in time

A connection rests 10 ms now (pool.rs); a lookup that finds no other waits. Read: wait_until polls what it waits for before the clock, so that a connection that came up in the turn in which the time limit or a tagged window ended was still written to (flow.rs, write); the client's going could lie unread; where nothing may be withdrawn, close() left a waiting shot to be written after all. All three are looked at right before the first byte. Read: signals were asked for after the listener was bound; times were rounded half up, so a window or grace could be 0.05 ms too long; with time limits under 50 ms the doors closed after the last answer's moment; answers given up at the end had 0.1 s to be written, with 0.15 s unused; a flow without a stated length had no end.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -86,6 +86,10 @@
     fn order(&self) -> Option<Vec<SocketAddr>> {
         None
     }
+    /// Whether whoever asked is still there and waits, as far as can be read at this moment, heard of or not.
+    fn awaited(&self) -> bool {
+        true
+    }
     /// One of its shots has ended; told before it is asked for the order again.
     fn ended(&self, _ending: Ending) {}
     /// Writes it whole to a cache, and how long it will be waited for.
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -247,6 +247,11 @@
         (lkp, answered)
     }
 
+    /// Whether a lookup has its final answer, or nobody waits for one any more.
+    pub fn is_over(&self, lkp: Lkp) -> bool {
+        self.desk.open.get(&lkp).is_none_or(|open| open.answer.is_none())
+    }
+
     /// A shot has ended, and its connection is closed or back in the pool.
     pub fn ended(
         &mut self,
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -12,22 +12,34 @@
 use std::time::{Duration, Instant};
 
 /// How long connections are taken after the word to end: a front hears of it within 0.4 s.
-const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+const STILL_ACCEPTING: Tenths = 5_000;
+/// What is left at the least, between the last connection and the last answer, for whoever came with it.
+const LAST_COMERS: Tenths = 500;
+/// From the last answer's moment on, for writing what was given up then, on a core that has little time for this proxy: SIGKILL
+/// comes 0.05 s after that.
+const WRITING: Duration = Duration::from_millis(200);
 /// From that word, beside the longest time limit, to the last answer: SIGKILL comes 0.7 s beside it.
 const TO_THE_LAST: Tenths = 4_500;
 /// The longest that SIGKILL waits for time limits.
 const LONGEST_LIMIT: Tenths = 30_000;
 
+/// After the word to end: until when connections are taken, and when every answer must be out, by the longest time limit.
+fn terms(longest_limit: Tenths) -> (Tenths, Tenths) {
+    let last = longest_limit.min(LONGEST_LIMIT) + TO_THE_LAST;
+    (STILL_ACCEPTING.min(last - LAST_COMERS), last)
+}
+
 /// From the word to end to the last phase. `accepting` is the doors' task, which ends once `Emptying` is reached and whoever
 /// has a connection by then is let in.
 pub async fn leave(core: &Rc<Core>, accepting: Task<()>) {
     let told = core.clock.now();
-    let last = told + core.classes.longest_limit().min(LONGEST_LIMIT) + TO_THE_LAST;
+    let (accepting_until, last) = terms(core.classes.longest_limit());
+    let last = told + last;
     core.leave(told, last);
     info!(core.log, "leaving"; "open" => core.book.borrow().open(), "succeeded" => core.life.succeeded());
     // A successor takes who comes from now on.
     if !core.life.succeeded() {
-        Timer::after(STILL_ACCEPTING).await;
+        Timer::at(core.clock.instant(told + accepting_until)).await;
     }
     core.life.enter(Phase::Emptying);
     // Where all places are taken, those that wait for one do so no longer than to the last answer.
@@ -37,10 +49,40 @@
     }
     // Whatever is left is given up now: later it would be lost.
     flow::give_up_all(core);
-    let end = Instant::now() + Duration::from_millis(100);
+    let end = core.clock.instant(last) + WRITING;
     while core.clients() > 0 && Instant::now() < end {
         Timer::after(Duration::from_millis(5)).await;
     }
     core.life.enter(Phase::Ended);
     info!(core.log, "ended");
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// In ms, for limits from none to ten seconds: connections are taken for as long as a front sends them (400 ms), then comes
+    /// the last answer, its writing, and SIGKILL, each after the one before.
+    #[test]
+    fn each_step_of_the_end_is_in_time_whatever_the_limits_are() {
+        let told = [0, 1, 300, 499, 500, 2_000, 3_000, 6_000, 30_000, 100_000].map(|limit| {
+            let (accepting, last) = terms(limit);
+            let kill = limit.min(LONGEST_LIMIT) + 7_000;
+            assert!(accepting >= 4_000 && accepting < last, "{limit}");
+            assert!(last >= limit.min(LONGEST_LIMIT) && last + 10 * WRITING.as_millis() as Tenths + 500 <= kill, "{limit}");
+            format!("{}: {} {} {}", limit / 10, accepting / 10, last / 10, kill / 10)
+        });
+        expect_test::expect![[r#"
+            0: 400 450 700
+            0: 400 450 700
+            30: 430 480 730
+            49: 449 499 749
+            50: 450 500 750
+            200: 500 650 900
+            300: 500 750 1000
+            600: 500 1050 1300
+            3000: 500 3450 3700
+            10000: 500 3450 3700"#]]
+        .assert_eq(&told.join("\n"));
+    }
+}
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -4,7 +4,7 @@
 use crate::book::{Book, Note, Shaft, Shooting};
 use crate::core::Core;
 use crate::members::Line;
-use crate::pool::{Conn, SPARE};
+use crate::pool::{Conn, REST, SPARE};
 use crate::rules::Rules;
 use chalkwalk_limits::Table;
 use chalkwalk_net::{wait_until, within};
@@ -196,7 +196,7 @@
     }
 }
 
-async fn shoot(core: &Core, shooting: &Shooting) -> Came {
+async fn shoot(core: &Rc<Core>, shooting: &Shooting) -> Came {
     let Shooting { cache, until, by, ask, shaft, .. } = shooting;
     if core.clock.now() >= *until {
         return Came::Ended(Ending::Unsent, None);
@@ -222,17 +222,29 @@
 }
 
 /// Writes the lookup to a connection; not one is written of which a part may come too late.
-async fn write(core: &Core, shooting: &Shooting) -> Result<Rc<Conn>, Ending> {
-    let Shooting { cache, until, ask, shaft, .. } = shooting;
+async fn write(core: &Rc<Core>, shooting: &Shooting) -> Result<Rc<Conn>, Ending> {
+    let Shooting { lkp, cache, until, by, ask, shaft, .. } = shooting;
     let conn = Rc::new(connection(core, *cache, false).await?);
     // Told since the shot was decided. The grace is for what can't be helped, and how much of it is over is not known here to the
     // moment, as the notice may have waited to be read. A shot so stopped surely has not run, and goes elsewhere.
     if core.book.borrow().is_off(*cache) {
         return Err(Ending::Unsent);
     }
+    // On a process that is busy the connection and the end of the time are seen in one turn, and the client's going lies unread
+    // while a connection, a place, a key's turn or a rest is over: nothing is begun for a lookup that is over by then.
+    let now = core.clock.now();
+    if now >= *until.min(by) {
+        return Err(Ending::Unsent);
+    }
+    let over = core.book.borrow().is_over(*lkp);
+    if over || !ask.awaited() {
+        if !over {
+            client_left(core, *lkp);
+        }
+        return Err(Ending::Unsent);
+    }
     shaft.hold(Some(conn.clone()));
-    let left = until.saturating_sub(core.clock.now());
-    ask.write_to(&conn.stream, left).await.map_err(|_| Ending::Unreachable)?;
+    ask.write_to(&conn.stream, until - now).await.map_err(|_| Ending::Unreachable)?;
     shaft.written.set(true);
     Ok(conn)
 }
@@ -242,8 +254,14 @@
     let Some(addr) = core.book.borrow().members.addr(cache) else {
         return Err(Ending::Unreachable);
     };
-    if !fresh && let Some(conn) = core.pool.take(cache, addr) {
-        return Ok(conn);
+    while !fresh && let Some(conn) = core.pool.take(cache, addr) {
+        if conn.rested() {
+            return Ok(conn);
+        }
+        Timer::at(conn.since + REST).await;
+        if core.pool.usable(&conn) {
+            return Ok(conn);
+        }
     }
     let permit = core.budget.take(|| core.pool.close_longest_idle()).await;
     let connected = within(core.rules.connect_time.get(), Async::<TcpStream>::connect(addr)).await;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -1,4 +1,5 @@
-//! Connections to caches, and those that are idle: the last used first. None is used that is near its end, or not quiet.
+//! Connections to caches, and those that are idle: the last used first. None is used that is near its end, not quiet, or
+//! just back.
 
 use crate::budget::Permit;
 use chalkwalk_net::quiet;
@@ -21,6 +22,11 @@
     pub fn new(stream: Async<TcpStream>, addr: SocketAddr, permit: Permit) -> Conn {
         Conn { stream, addr, since: Instant::now(), _permit: permit }
     }
+
+    /// What came after its last answer has been seen by now.
+    pub fn rested(&self) -> bool {
+        self.since.elapsed() >= REST
+    }
 }
 
 /// Kept for each cache at most: more than are ever out at once to a cache that is not late.
@@ -32,6 +38,12 @@
 /// back (docs/notes/fleet.md), and less would open anew what answers of a tenth of a second need side by side.
 pub const SPARE: Duration = Duration::from_millis(250);
 
+/// How long a connection rests after an answer before the next lookup is written to it. A cache may send a second answer some
+/// milliseconds after the first, and nothing in it tells whose it is: read as the next one's it would be a value that no cache
+/// made for it. Those seen came 1.5 to 5.8 ms after (docs/notes/endings.md); a lookup that finds no other waits for the rest, which
+/// is shorter than a handshake between zones and takes no place at the cache.
+pub const REST: Duration = Duration::from_millis(10);
+
 pub struct Pool {
     idle: RefCell<HashMap<Cache, Vec<Conn>>>,
     longest: Duration,
@@ -44,11 +56,13 @@
         Pool { idle: RefCell::default(), longest: idle_time / 2 }
     }
 
-    /// The connection used last, if it can still be used.
+    /// The connection used last of those that have rested, if it can still be used; where none has, the one that will be
+    /// first. Its next use is after its rest.
     pub fn take(&self, cache: Cache, addr: SocketAddr) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let of_cache = idle.get_mut(&cache)?;
-        while let Some(conn) = of_cache.pop() {
+        while !of_cache.is_empty() {
+            let conn = of_cache.remove(of_cache.iter().rposition(Conn::rested).unwrap_or(0));
             if conn.addr == addr && self.usable(&conn) {
                 return Some(conn);
             }
@@ -56,7 +70,7 @@
         None
     }
 
-    fn usable(&self, conn: &Conn) -> bool {
+    pub fn usable(&self, conn: &Conn) -> bool {
         conn.since.elapsed() < self.longest && quiet(&conn.stream)
     }
 
--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -9,7 +9,12 @@
 #[derive(Clone, Copy)]
 enum Form {
     Number,
+    /// In whole tenths of a millisecond. What may be done for so long is over no later for it.
     Time,
+    /// A time by which clients are answered: the same, and a tenth at the least where there is any.
+    Limit,
+    /// What has to be waited for is over no sooner.
+    Rest,
     Flag,
     Word,
 }
@@ -29,14 +34,14 @@
     ("ceilings.retryAfter", "return advice", Flag),
     ("ceilings.maxRetryAfterNs", "longest stay away", Time),
     ("ceilings.connIdleNs", "idle time", Time),
-    ("ceilings.connectTimeoutNs", "connect time", Time),
+    ("ceilings.connectTimeoutNs", "connect time", Limit),
     ("rules.drainGraceNs", "drain grace", Time),
     ("rules.askEveryNs", "ask time", Time),
     ("rules.startCapacity", "cold share", Number),
-    ("rules.coldNs", "cold time", Time),
+    ("rules.coldNs", "cold time", Rest),
     ("rules.fallMultiple", "fall multiple", Number),
     ("rules.fallNs", "fall time", Time),
-    ("rules.keyQuietNs", "key quiet", Time),
+    ("rules.keyQuietNs", "key quiet", Rest),
     ("scoreParts.tail", "tail", Number),
     ("scoreParts.missAllowed", "miss allowed", Number),
     ("familyInfo.originFallMultiple", "origin fall multiple", Number),
@@ -46,8 +51,8 @@
 const NOT_NEGATIVE: [&str; 3] = ["rules.keyQuietNs", "scoreParts.tail", "scoreParts.missAllowed"];
 
 const OF_NAMESPACE: [(&str, &str, Form); 9] = [
-    ("targetTimeNs", "target time", Time),
-    ("timeLimitNs", "time limit", Time),
+    ("targetTimeNs", "target time", Limit),
+    ("timeLimitNs", "time limit", Limit),
     ("utility", "utility", Number),
     ("overdueUtility", "late utility", Number),
     ("idempotency", "repeats", Word),
@@ -78,7 +83,9 @@
     };
     match form {
         Number => number().map(|n| n.to_string()),
-        Time => number().map(|n| (n / 1e5).round().to_string()),
+        Time => number().map(|n| (n / 1e5).floor().to_string()),
+        Limit => number().map(|n| (n / 1e5).floor().max(if n > 0.0 { 1.0 } else { 0.0 }).to_string()),
+        Rest => number().map(|n| (n / 1e5).ceil().to_string()),
         Flag => value.as_bool().map(|b| u8::from(b).to_string()).ok_or_else(|| wrong("true or false")),
         Word => value.as_str().map(|w| in_house_words(w).to_string()).ok_or_else(|| wrong("a text")),
     }
@@ -182,6 +189,33 @@
     use super::*;
     use serde_json::json;
 
+    /// A window or a grace is over no later for being read, a cold cache is cold no shorter, and no limit above 0 becomes none.
+    #[test]
+    fn times_between_two_tenths_are_read_to_the_safe_side() {
+        let settings = |ns: f64| {
+            json!({"rules": {"drainGraceNs": ns, "coldNs": ns, "keyQuietNs": ns, "askEveryNs": ns},
+                   "ceilings": {"connectTimeoutNs": ns},
+                   "namespaces": [{"name": "n", "dedupWindowNs": ns, "targetTimeNs": ns, "timeLimitNs": ns}]})
+        };
+        let told = [0.0, 1.0, 49_999.0, 50_000.0, 99_999.0, 100_000.0, 150_000.0, 199_999.0].map(|ns| {
+            let rules = read(settings(ns).as_object().unwrap()).unwrap().rules;
+            let of = |name: &str| rules[name].clone();
+            let whole = ["drain grace", "ask time", "namespace 0 window"].map(of).join(" ");
+            let limits = ["connect time", "namespace 0 target time", "namespace 0 time limit"].map(of).join(" ");
+            format!("{ns}: {whole}, {limits}, {}", ["cold time", "key quiet"].map(of).join(" "))
+        });
+        expect_test::expect![[r#"
+            0: 0 0 0, 0 0 0, 0 0
+            1: 0 0 0, 1 1 1, 1 1
+            49999: 0 0 0, 1 1 1, 1 1
+            50000: 0 0 0, 1 1 1, 1 1
+            99999: 0 0 0, 1 1 1, 1 1
+            100000: 1 1 1, 1 1 1, 1 1
+            150000: 1 1 1, 1 1 1, 2 2
+            199999: 1 1 1, 1 1 1, 2 2"#]]
+        .assert_eq(&told.join("\n"));
+    }
+
     /// What is said of order by key reaches the map, nothing changes without it, and what makes no sense is told plainly.
     #[test]
     fn order_by_key_is_read_and_checked() {
--- a/crates/http-door/src/admit.rs
+++ b/crates/http-door/src/admit.rs
@@ -6,8 +6,10 @@
 use chalkwalk_http1::Message;
 use chalkwalk_limits::Lookup as Place;
 use chalkwalk_policy::Tenths;
+use smol::Async;
+use std::net::TcpStream;
 use std::ops::Range;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 /// What a lookup is told by, each once.
 const KEY_FIELDS: [&str; 5] =
@@ -33,12 +35,19 @@
     pub write: bool,
     pub taken: Tenths,
     pub expires: Tenths,
+    /// Its client's connection, while that is served.
+    pub client: Weak<Async<TcpStream>>,
     _open: OpenId,
 }
 
 /// The lookup, whose time counts from when it came, or the answer to what is none: a 4xx to what is wrong, after
 /// which the connection is closed.
-pub fn admit(door: &Rc<Door>, message: Message, came: Tenths) -> Result<Lookup, Reply> {
+pub fn admit(
+    door: &Rc<Door>,
+    message: Message,
+    came: Tenths,
+    client: &Rc<Async<TcpStream>>,
+) -> Result<Lookup, Reply> {
     let wrong = |status| Err(Reply::bare(status));
     let core = &door.core;
     let target = message.word(&message.target);
@@ -89,6 +98,7 @@
         taken: came,
         expires,
         message,
+        client: Rc::downgrade(client),
         _open: open,
     })
 }
--- a/crates/http-door/src/caches.rs
+++ b/crates/http-door/src/caches.rs
@@ -3,7 +3,7 @@
 use crate::admit::Lookup;
 use chalkwalk_core::answer::{Answer, Ask, Heard, Probe, Rest, Verdict, Wait};
 use chalkwalk_http1::{self as http1, Answering};
-use chalkwalk_net::{Held, Room, wait_until, write_all};
+use chalkwalk_net::{Held, Room, quiet, wait_until, write_all};
 use chalkwalk_policy::{Ending, Tenths};
 use smol::Async;
 use std::io;
@@ -40,6 +40,11 @@
         self.expires
     }
 
+    /// Nothing comes from a client that waits: its end and what it sends ahead of the answer both end the lookup.
+    fn awaited(&self) -> bool {
+        self.client.upgrade().is_some_and(|client| quiet(&client))
+    }
+
     fn write_to<'a>(&'a self, stream: &'a Async<TcpStream>, left: Tenths) -> Wait<'a, io::Result<()>> {
         Box::pin(async move {
             let (m, time_left) = (&self.message, seconds(left));
@@ -126,6 +131,7 @@
         return Some(Heard { ending, answer: None, keep, rest: None });
     }
     let kind = answering.message.field("Content-Type").unwrap_or("").to_string();
+    let begun = body.len();
     let answer = Some(Answer { kind, body, ..Answer::bare(Verdict::Resolved) });
     if whole {
         return Some(Heard { ending, answer, keep, rest: None });
@@ -134,19 +140,26 @@
     if held.is_some() {
         answering.most = PART.0;
     }
-    let rest: Box<dyn Rest> = Box::new(Flowing { answering, _held: held });
+    let left = http1::LONGEST_OF_ALL.saturating_sub(begun);
+    let rest: Box<dyn Rest> = Box::new(Flowing { answering, left, _held: held });
     Some(Heard { ending, answer, keep, rest: Some(rest) })
 }
 
 /// The rest of a long answer, with its part of the room for them; without one it is read in smaller parts.
 struct Flowing {
     answering: Answering,
+    left: usize, // bytes that may still come
     _held: Option<Held>,
 }
 
 impl Rest for Flowing {
     fn part<'a>(&'a mut self, stream: &'a Async<TcpStream>) -> Wait<'a, Result<Option<Vec<u8>>, ()>> {
-        Box::pin(async move { self.answering.part(stream).await.map_err(|_| ()) })
+        Box::pin(async move {
+            let part = self.answering.part(stream).await.map_err(|_| ())?;
+            // One whose length is not told may never end: longer than any, it is broken off.
+            self.left = self.left.checked_sub(part.as_ref().map_or(0, Vec::len)).ok_or(())?;
+            Ok(part)
+        })
     }
     fn length(&self) -> Option<u64> {
         self.answering.length
--- a/crates/http-door/src/clients.rs
+++ b/crates/http-door/src/clients.rs
@@ -85,7 +85,7 @@
     mut taken: bool,
     clear: Tenths,
 ) {
-    let core = &door.core;
+    let (core, stream) = (&door.core, Rc::new(stream));
     let mut rest = Vec::new();
     let mut opened = Some(Instant::now());
     // What is there already may have waited for as long as the connection did: that much less time is left to it. It is
@@ -105,7 +105,7 @@
             taken = true;
         }
         let (close, old) = (message.close || !taken, message.old);
-        let answer = match admit(&door, message, came) {
+        let answer = match admit(&door, message, came, &stream) {
             // More at once than one lookup: none of it is taken.
             _ if !rest.is_empty() => Reply::bare(400),
             Ok(_) if !taken => Reply::bare(503),
--- a/crates/http-door/src/route.rs
+++ b/crates/http-door/src/route.rs
@@ -36,5 +36,12 @@
         flow::client_left(core, lkp);
         came.then(|| Reply::bare(400))
     };
-    async { answered.recv().await.ok().map(Reply::from) }.or(gone).or(late).await
+    let answer = async {
+        match answered.recv().await {
+            Ok(answer) => Some(Reply::from(answer)),
+            // Called off where a shot was to be written: what that saw is read here next.
+            Err(_) => std::future::pending().await,
+        }
+    };
+    answer.or(gone).or(late).await
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -87,6 +87,8 @@
     no_more(args)?;
     let read = given.read()?;
     let rules = &read.rules;
+    // Before the system takes a connection for us: told to end from then on, what came on it is answered.
+    let signals = serve::signals()?;
     let inherited = inherited::listener()?;
     let handed = inherited.is_some();
     let listener = match inherited {
@@ -99,7 +101,7 @@
     let longer = socket2::SockRef::from(&listener).listen(1024);
     longer.map_err(|e| format!("cannot listen on {}: {e}", rules.listen))?;
     let (log, _flushed) = logger(&rules.core.name, json);
-    serve::run(given, read, log, (listener, handed))
+    serve::run(given, read, log, signals, (listener, handed))
 }
 
 fn check(mut args: Args) -> Result<(), String> {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -21,11 +21,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The signals that are heard from now on.
+pub fn signals() -> Result<Signals, String> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("cannot hear signals: {e}"))
+}
+
 /// Serves until it is told to end. `handed`: the listener is the platform's, and other processes of this proxy have it too.
 pub fn run(
     given: Given,
     read: Read,
     log: Logger,
+    mut signals: Signals,
     (listener, handed): (TcpListener, bool),
 ) -> Result<(), String> {
     let Read { rules, membership, resp, capture } = read;
@@ -44,8 +50,6 @@
         bound.map_err(|e| format!("cannot listen on {at}: {e}"))
     });
     let console_listener = console_listener.transpose()?;
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
-    let mut signals = signals.map_err(|e| format!("cannot hear signals: {e}"))?;
     // Caches speak one protocol, by which they are probed.
     let probe: Box<dyn Probe> =
         if resp.is_some() { Box::new(resp_door::Ping) } else { Box::new(http::Alive) };
