Tests on sockets of what ends while something is owed, the crossing forced

Standstills (SIGSTOP, SIGCONT) have the proxy read several events in one turn, and a listener whose queue is full holds a connection that comes up when the test lets it.

--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -69,7 +69,10 @@
             let (accepting, last) = terms(limit);
             let kill = limit.min(LONGEST_LIMIT) + 7_000;
             assert!(accepting >= 4_000 && accepting < last, "{limit}");
-            assert!(last >= limit.min(LONGEST_LIMIT) && last + 10 * WRITING.as_millis() as Tenths + 500 <= kill, "{limit}");
+            assert!(
+                last >= limit.min(LONGEST_LIMIT) && last + 10 * WRITING.as_millis() as Tenths + 500 <= kill,
+                "{limit}"
+            );
             format!("{}: {} {} {}", limit / 10, accepting / 10, last / 10, kill / 10)
         });
         expect_test::expect![[r#"
--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -201,7 +201,8 @@
             let rules = read(settings(ns).as_object().unwrap()).unwrap().rules;
             let of = |name: &str| rules[name].clone();
             let whole = ["drain grace", "ask time", "namespace 0 window"].map(of).join(" ");
-            let limits = ["connect time", "namespace 0 target time", "namespace 0 time limit"].map(of).join(" ");
+            let limits =
+                ["connect time", "namespace 0 target time", "namespace 0 time limit"].map(of).join(" ");
             format!("{ns}: {whole}, {limits}, {}", ["cold time", "key quiet"].map(of).join(" "))
         });
         expect_test::expect![[r#"
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -1,5 +1,7 @@
 //! One proxy process on loopback between small stand-ins; each test prints what client and stand-ins saw.
 
+#[path = "sockets/endings.rs"]
+mod endings;
 #[path = "sockets/large.rs"]
 mod large;
 #[path = "sockets/operators.rs"]
--- /dev/null
+++ b/crates/proxy/tests/sockets/endings.rs
@@ -0,0 +1,393 @@
+//! What ends while something else is owed: crossings that are forced, by marks of the stand-ins and standstills of the proxy.
+
+use super::*;
+use std::sync::mpsc::{Receiver, channel};
+
+/// A proxy with settings of the test's own, its list, and what its stand-ins are asked.
+struct Fleet {
+    proxy: Child,
+    addr: SocketAddr,
+    came: Receiver<Shot>,
+    calls: Arc<AtomicUsize>, // to the list
+}
+
+/// A shot at a stand-in, which answers when and as the test says.
+struct Shot {
+    what: String, // the stand-in's name, and the key
+    stream: TcpStream,
+}
+
+impl Shot {
+    fn answer(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
+}
+
+/// A cache as listed, where it listens itself or only holds what connects.
+struct Cache(TcpListener, Value);
+
+fn cache(name: &str) -> Cache {
+    let (listener, addr) = a_listener();
+    Cache(listener, line(name, addr, "SERVING"))
+}
+
+/// One whose connections come up only once the test lets them: the system takes one for it, and that is the test's own.
+fn shut_cache(name: &str) -> (Cache, TcpStream) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = TcpListener::from(socket);
+    let addr = listener.local_addr().unwrap();
+    let filler = TcpStream::connect(addr).unwrap();
+    (Cache(listener, line(name, addr, "SERVING")), filler)
+}
+
+impl Cache {
+    fn addr(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+
+    /// Lets the connections in that wait, and returns the proxy's first.
+    fn let_in(&self) -> TcpStream {
+        _ = self.0.accept().unwrap();
+        self.0.accept().unwrap().0
+    }
+
+    /// Waits until a connection to it is on its way.
+    fn wait_connecting(&self) {
+        let port = format!(":{:04X} 02", self.addr().port());
+        wait_for(|| std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&port));
+    }
+}
+
+impl Fleet {
+    /// `playing`: those that answer as the test says. `known`: what the list has, unless it is one of the test's own.
+    fn new(playing: Vec<Cache>, known: &[Value], set: impl FnOnce(&mut Value)) -> Fleet {
+        let listed = whole(2, known);
+        Fleet::with(playing, known, |listener, calls| list(listener, vec![listed], calls), set)
+    }
+
+    fn with(
+        playing: Vec<Cache>,
+        known: &[Value],
+        listing: impl FnOnce(TcpListener, Arc<AtomicUsize>),
+        set: impl FnOnce(&mut Value),
+    ) -> Fleet {
+        let (tell, came) = channel();
+        for Cache(listener, line) in playing {
+            let (tell, name) = (tell.clone(), line["id"].as_str().unwrap().to_string());
+            spawn(move || {
+                for mut stream in listener.incoming().flatten() {
+                    let (tell, name) = (tell.clone(), name.clone());
+                    spawn(move || {
+                        while let Some((head, _)) = message(&mut stream) {
+                            let key = head.split(['/', '?', ' ']).nth(3).unwrap_or("").to_string();
+                            let what = format!("{name} {key}");
+                            let stream = stream.try_clone().unwrap();
+                            _ = tell.send(Shot { what, stream });
+                        }
+                    });
+                }
+            });
+        }
+        let (listener, at) = a_listener();
+        let calls = Arc::new(AtomicUsize::new(0));
+        listing(listener, calls.clone());
+        let addr = own_address();
+        let mut configuration = configuration(addr, at, known, 1024);
+        set(&mut configuration);
+        let proxy = run(&configuration, "");
+        let fleet = Fleet { proxy, addr, came, calls };
+        wait_for(|| TcpStream::connect(addr).is_ok());
+        wait_for(|| fleet.calls.load(Ordering::SeqCst) > 0);
+        fleet
+    }
+
+    fn of(playing: Vec<Cache>, set: impl FnOnce(&mut Value)) -> Fleet {
+        let lines: Vec<Value> = playing.iter().map(|c| c.1.clone()).collect();
+        Fleet::new(playing, &lines, set)
+    }
+
+    fn write(&self, ns: &str, key: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        self.write_on(&mut stream, ns, key);
+        stream
+    }
+
+    fn write_on(&self, stream: &mut TcpStream, ns: &str, key: &str) {
+        static NTH: AtomicUsize = AtomicUsize::new(0);
+        let id = NTH.fetch_add(1, Ordering::SeqCst);
+        let text = format!(
+            "GET /api/{key} HTTP/1.1\r\nX-Correlation-Id: e{id}\r\nX-Service-Class: {ns}\r\nX-Time-Left: 9\r\n\r\n"
+        );
+        stream.write_all(text.as_bytes()).unwrap();
+    }
+
+    fn shot(&self) -> Shot {
+        self.came.recv_timeout(Duration::from_secs(20)).expect("a shot")
+    }
+
+    fn signal(&self, name: &str) {
+        Command::new("kill").args([name, &self.proxy.id().to_string()]).status().unwrap();
+    }
+
+    /// What happens while the proxy stands still: it reads all of it in one turn.
+    fn standing<T>(&self, happens: impl FnOnce() -> T) -> T {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.proxy.id());
+        wait_for(|| std::fs::read_to_string(&stat).is_ok_and(|s| s.contains(") T ")));
+        let out = happens();
+        self.signal("-CONT");
+        out
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        _ = self.proxy.kill();
+        _ = self.proxy.wait();
+    }
+}
+
+/// The status, or how the connection ended.
+fn heard(stream: &mut TcpStream) -> String {
+    match message(stream) {
+        Some((head, body)) => format!("{} {body}", &head[9..12]).trim_end().to_string(),
+        None => "closed".into(),
+    }
+}
+
+/// What comes on a connection of a stand-in: a lookup's first line, or nothing up to its end.
+fn written(mut stream: TcpStream) -> String {
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    message(&mut stream).map_or("nothing".into(), |(head, _)| head.lines().next().unwrap().to_string())
+}
+
+fn may_not_withdraw(said: &mut Value) {
+    said["settings"]["ceilings"]["cancelling"] = json!(false);
+}
+
+fn patient(said: &mut Value) {
+    said["settings"]["ceilings"]["connectTimeoutNs"] = json!(5_000_000_000u64);
+    said["settings"]["namespaces"][0] = namespace("page", "free", 6000);
+}
+
+/// A second answer that comes some milliseconds late, on a connection that is back in the pool by then, is nobody's.
+#[test]
+fn a_second_answer_some_milliseconds_late_is_nobodys() {
+    let fleet = Fleet::of(vec![cache("a")], |_| ());
+    let mut client = fleet.write("page", "k0");
+    for round in 1.. {
+        let mut shot = fleet.shot();
+        shot.answer(HELD);
+        let begun = Instant::now();
+        assert_eq!(heard(&mut client), "200 value");
+        // The next lookup is on its way before the second answer is.
+        fleet.write_on(&mut client, "page", &format!("k{round}"));
+        sleep(Duration::from_millis(4));
+        shot.answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+        // Where this stand-in itself was held up, it plays the round again.
+        if begun.elapsed() < Duration::from_millis(8) {
+            break;
+        }
+    }
+    let mut shot = fleet.shot();
+    shot.answer(HELD);
+    assert_eq!(heard(&mut client), "200 value");
+}
+
+/// Nothing is written for a lookup whose client left while it waited for its connection, though the connection came up in the
+/// turn in which the client's end was read; also where shots that are out may not be withdrawn.
+#[test]
+fn who_leaves_while_a_connection_comes_up_is_not_sent_on() {
+    for cancelling in [true, false] {
+        let (cache, _filler) = shut_cache("a");
+        let lines = vec![cache.1.clone()];
+        let fleet = Fleet::new(vec![], &lines, |said| {
+            patient(said);
+            said["settings"]["ceilings"]["cancelling"] = json!(cancelling);
+        });
+        let client = fleet.write("page", "k");
+        cache.wait_connecting();
+        let shot = fleet.standing(|| {
+            drop(client);
+            cache.let_in()
+        });
+        assert_eq!(written(shot), "nothing", "cancelling: {cancelling}");
+    }
+}
+
+/// The same for a place for its connection: all are taken by lookups that hang, and one becomes free as the client leaves.
+#[test]
+fn who_leaves_while_it_waits_for_a_place_is_not_sent_on() {
+    let fleet = Fleet::of(vec![cache("a"), cache("b"), cache("c")], |said| {
+        may_not_withdraw(said);
+        said["limits"]["sockets"] = json!(46);
+        said["settings"]["namespaces"][1] = namespace("once", "single_shot", 9000);
+    });
+    let mut clients = Vec::new();
+    let mut shots: Vec<Shot> = Vec::new();
+    for i in 0..13 {
+        clients.push(fleet.write("once", &format!("k{i}")));
+        shots.push(fleet.shot());
+    }
+    // It has a client's place, and its shot has none. Its answer to a message says that it was read.
+    let waits = fleet.write("once", "waits");
+    let taken = format!("/proc/{}/fd", fleet.proxy.id());
+    let open = || std::fs::read_dir(&taken).map_or(0, |fds| fds.count());
+    let before = open();
+    wait_for(|| open() >= before);
+    fleet.standing(|| {
+        drop(waits);
+        shots[0].answer(&HELD.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+    });
+    assert_eq!(heard(&mut clients[0]), "200 value");
+    fleet.write_on(&mut clients[0], "once", "last");
+    assert_eq!(fleet.shot().what.split(' ').nth(1), Some("last"));
+}
+
+/// The same for its key's turn, and for another's fetch of its key.
+#[test]
+fn who_leaves_while_another_has_its_key_is_not_sent_on() {
+    for (kind, origin) in [("in order", false), ("fetch", true)] {
+        let mut caches = vec![cache("a")];
+        if origin {
+            caches.push(cache("origin"));
+        }
+        let fleet = Fleet::of(caches, |said| {
+            may_not_withdraw(said);
+            said["settings"]["namespaces"][0]["keepOrder"] = json!(!origin);
+        });
+        let mut first = fleet.write("page", "k");
+        let mut shot = fleet.shot();
+        if origin {
+            shot.answer(MISS);
+            shot = fleet.shot();
+        }
+        let mut second = fleet.write("page", "k");
+        if origin {
+            fleet.shot().answer(MISS);
+            // By the next lookup's shot the miss of the second has been heard.
+        }
+        let mut third = fleet.write("page", "other");
+        let mut other = fleet.shot();
+        other.answer(HELD);
+        assert_eq!((other.what.as_str(), heard(&mut third).as_str()), ("a other", "200 value"));
+        fleet.standing(|| {
+            // Reset, not closed in order.
+            socket2::SockRef::from(&second).set_linger(Some(Duration::ZERO)).unwrap();
+            drop(std::mem::replace(&mut second, TcpStream::connect(fleet.addr).unwrap()));
+            shot.answer(HELD);
+        });
+        assert_eq!(heard(&mut first), "200 value", "{kind}");
+        fleet.write_on(&mut third, "page", "last");
+        assert_eq!(fleet.shot().what, "a last", "{kind}");
+    }
+}
+
+/// The same for the moment in which a silent cache is given up for the next.
+#[test]
+fn who_leaves_as_a_silent_cache_is_given_up_is_not_sent_on() {
+    let fleet = Fleet::of(vec![cache("a"), cache("b")], |_| ());
+    let client = fleet.write("page", "k");
+    let silent = fleet.shot();
+    fleet.standing(|| {
+        // Past what a cache may be silent for, here a time limit's half at the most.
+        sleep(Duration::from_millis(1600));
+        drop(client);
+    });
+    let mut other = fleet.write("page", "last");
+    let mut shot = fleet.shot();
+    assert_eq!(shot.what.split(' ').nth(1), Some("last"), "{}", silent.what);
+    shot.answer(HELD);
+    assert_eq!(heard(&mut other), "200 value");
+}
+
+/// A connection that comes up in the turn in which the time limit is over, or in which a tagged lookup's window is, carries
+/// nothing: the window counts from the first shot that may have run.
+#[test]
+fn what_is_over_while_a_connection_comes_up_is_not_written() {
+    // The time limit.
+    let (shut, _filler) = shut_cache("a");
+    let lines = vec![shut.1.clone()];
+    let fleet = Fleet::new(vec![], &lines, |said| {
+        patient(said);
+        said["settings"]["namespaces"][0] = namespace("page", "free", 900);
+    });
+    let mut client = fleet.write("page", "k");
+    shut.wait_connecting();
+    let shot = fleet.standing(|| {
+        let shot = shut.let_in();
+        sleep(Duration::from_millis(1000));
+        shot
+    });
+    assert_eq!(written(shot), "nothing");
+    assert!(heard(&mut client).starts_with("50"));
+    // The window: the first shot breaks after it was read, the second waits for its connection.
+    for _ in 0..20 {
+        let (shut, _filler) = shut_cache("b");
+        let open = cache("a");
+        let lines = vec![open.1.clone(), shut.1.clone()];
+        let fleet = Fleet::new(vec![open], &lines, |said| {
+            patient(said);
+            said["settings"]["namespaces"][1] = namespace("once", "guarded", 6000);
+            said["settings"]["namespaces"][1]["dedupWindowNs"] = json!(700_000_000u64);
+        });
+        let mut client = fleet.write("once", "k");
+        // The key may be the other's: then that one waits, and another key is tried.
+        let Ok(first) = fleet.came.recv_timeout(Duration::from_millis(300)) else { continue };
+        first.stream.shutdown(std::net::Shutdown::Both).unwrap();
+        shut.wait_connecting();
+        let shot = fleet.standing(|| {
+            let shot = shut.let_in();
+            sleep(Duration::from_millis(750));
+            shot
+        });
+        assert_eq!(written(shot), "nothing");
+        assert_eq!(heard(&mut client), "500");
+        return;
+    }
+    panic!("no key was the open cache's");
+}
+
+/// A drain that is told while a shot waits for its connection to that cache: the shot goes elsewhere.
+#[test]
+fn a_drain_told_while_a_connection_comes_up_takes_the_shot_elsewhere() {
+    let (shut, _filler) = shut_cache("a");
+    let open = cache("b");
+    let (known, both) = (vec![shut.1.clone()], [shut.1.clone(), open.1.clone()]);
+    let drained = line("a", shut.addr(), "DRAINING");
+    // The drain and the other cache are the answer to the second call, which is held until the shot waits.
+    let (go, told) = channel::<()>();
+    let answers = [whole(2, &known), whole(3, &[drained, both[1].clone()])];
+    let listing = |listener: TcpListener, calls: Arc<AtomicUsize>| {
+        spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                while message(&mut stream).is_some() {
+                    let nth = calls.fetch_add(1, Ordering::SeqCst);
+                    if nth > 0 && told.recv().is_err() {
+                        return;
+                    }
+                    let body = &answers[nth.min(1)];
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                    if stream.write_all((head + body).as_bytes()).is_err() {
+                        break;
+                    }
+                }
+            }
+        });
+    };
+    let fleet = Fleet::with(vec![open], &known, listing, patient);
+    let mut client = fleet.write("page", "k");
+    shut.wait_connecting();
+    go.send(()).unwrap();
+    // It has read the answer as it calls again.
+    wait_for(|| fleet.calls.load(Ordering::SeqCst) > 2);
+    let shot = fleet.standing(|| shut.let_in());
+    assert_eq!(written(shot), "nothing");
+    let mut elsewhere = fleet.shot();
+    assert_eq!(elsewhere.what, "b k");
+    elsewhere.answer(HELD);
+    assert_eq!(heard(&mut client), "200 value");
+}
