The judge sees what is sent on after its client left; an experiment in which clients leave in bursts

New rule of the lab's judge: a shot whose first byte comes over 0.1 s after its client closed.

The plain ring, which takes no notice of clients that leave, is found out by name in the judge's test.

Also: the log counts lookups left while they waited and shots withheld, once a minute and at the end.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -76,6 +76,7 @@
     sooner: Sender<()>, // a wake is due before the one that is waited for
     wanted: Sender<()>, // the router wants the list watched
     log: Logger,
+    left_waiting: u64,  // lookups whose client left before any of their shots was written
     tape: Option<Tape>, // of all that the router is told and wants, where it is captured
 }
 
@@ -194,6 +195,7 @@
             sooner,
             wanted,
             log,
+            left_waiting: 0,
             tape,
         };
         desk.told(|| Told::Start { seed, house: house.clone() });
@@ -252,6 +254,11 @@
         self.desk.open.get(&lkp).is_none_or(|open| open.answer.is_none())
     }
 
+    /// Lookups so far whose client left before any of their shots was written.
+    pub fn left_waiting(&self) -> u64 {
+        self.desk.left_waiting
+    }
+
     /// A shot has ended, and its connection is closed or back in the pool.
     pub fn ended(
         &mut self,
@@ -294,8 +301,11 @@
 
     pub fn client_left(&mut self, now: Tenths, lkp: Lkp) {
         let (router, desk) = self.at(now);
-        if let Some(open) = desk.open.get_mut(&lkp) {
-            open.answer = None;
+        if let Some(open) = desk.open.get_mut(&lkp)
+            && open.answer.take().is_some()
+            && !open.shafts.iter().any(|shaft| shaft.written.get())
+        {
+            desk.left_waiting += 1;
         }
         desk.told(|| Told::Left(lkp.0));
         lkp.client_left(router, desk);
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -31,6 +31,8 @@
     pub probe: Box<dyn Probe>,
     pub ex: LocalExecutor<'static>,
     pub log: Logger,
+    /// Shots that were not written, as their lookup was over by then.
+    pub(crate) withheld: Cell<u64>,
     pub(crate) sooner: Receiver<()>,
     wanted: Receiver<()>,
     clients: Cell<usize>, // their open connections
@@ -64,6 +66,7 @@
             probe,
             ex: LocalExecutor::new(),
             log,
+            withheld: Cell::new(0),
             sooner: sooner_told,
             wanted: wanted_told,
             clients: Cell::new(0),
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -54,7 +54,7 @@
         Timer::after(Duration::from_millis(5)).await;
     }
     core.life.enter(Phase::Ended);
-    info!(core.log, "ended");
+    flow::count_left(core, "ended");
 }
 
 #[cfg(test)]
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -9,6 +9,7 @@
 use chalkwalk_limits::Table;
 use chalkwalk_net::{wait_until, within};
 use chalkwalk_policy::{Cache, Ending, Lkp, Tenths};
+use slog::info;
 use smol::channel::{Receiver, Sender, bounded};
 use smol::future::FutureExt;
 use smol::{Async, Timer};
@@ -106,17 +107,29 @@
 }
 
 /// Gives back what is spare, twice in the time it may be, and closes what is idle too long with each eighth round, about
-/// once a second, as that looks at each connection; never ends.
+/// once a second, as that looks at each connection; counts in the log once a minute what has become more; never ends.
 pub async fn sweep(core: Rc<Core>) {
+    let (mut told, mut rounds) = (0, 0u32);
     loop {
         for _ in 0..8 {
             Timer::after(SPARE / 2).await;
             core.pool.trim();
         }
         core.pool.sweep();
+        rounds += 1;
+        let left = core.book.borrow().left_waiting();
+        if rounds.is_multiple_of(60) && std::mem::replace(&mut told, left) != left {
+            count_left(&core, "clients left");
+        }
     }
 }
 
+/// Says how many lookups were left so far while they waited, and how many shots were withheld as their lookup was over.
+pub(crate) fn count_left(core: &Core, event: &'static str) {
+    let left = core.book.borrow().left_waiting();
+    info!(core.log, "{}", event; "left_waiting" => left, "withheld" => core.withheld.get());
+}
+
 // ---- one shot, from the connection to its ending ----
 
 /// How a shot came out, or how far it has come.
@@ -238,6 +251,7 @@
     }
     let over = core.book.borrow().is_over(*lkp);
     if over || !ask.awaited() {
+        core.withheld.set(core.withheld.get() + 1);
         if !over {
             client_left(core, *lkp);
         }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -196,11 +196,22 @@
     /// The part of the lookups whose client leaves early, by chance within its time limit.
     #[serde(default)]
     pub leave: f64,
+    /// Moments at which many who wait leave together.
+    #[serde(rename = "gust", default)]
+    pub gusts: Vec<Gust>,
     /// Connections that are opened at the beginning, one lookup each, and held.
     #[serde(default)]
     pub hold: usize,
 }
 
+/// A part of the clients that wait for an answer leave at that moment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Gust {
+    pub at: f64,
+    pub share: f64,
+}
+
 /// A few keys get a part of all lookups for a time.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -266,11 +277,13 @@
     pub held_ms: f64,
     /// How long a shot that was given up may overlap the next one.
     pub overlap_ms: f64,
+    /// From a client's leaving to the first byte of a shot for it: more counts as sent on.
+    pub left_ms: f64,
 }
 
 impl Default for Rules {
     fn default() -> Rules {
-        Rules { late_ms: 150.0, drain_ms: 50.0, held_ms: 250.0, overlap_ms: 50.0 }
+        Rules { late_ms: 150.0, drain_ms: 50.0, held_ms: 250.0, overlap_ms: 50.0, left_ms: 100.0 }
     }
 }
 
@@ -572,6 +585,7 @@
         check.within("load", "skew", load.skew, 0.0, 3.0);
         check.within("load", "heed", load.heed, 0.0, 1.0);
         check.within("load", "leave", load.leave, 0.0, 1.0);
+        load.gusts.iter().for_each(|gust| check.within("load", "gust.share", gust.share, 0.0, 1.0));
         check.within("load", "retries", f64::from(load.retries), 0.0, 10.0);
         let most = load.surges.iter().map(|s| s.factor).fold(1.0, f64::max);
         if load.rate * self.seconds * most > MOST_LOOKUPS {
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -91,13 +91,17 @@
         }
         let leaves = self.chance.random::<f64>() < load.leave;
         let limit = self.experiment.namespaces[ns].limit_ms / 1e3;
+        let early = leaves.then(|| limit * self.chance.random::<f64>());
+        let waits = |at: f64| (self.at..self.at + limit).contains(&at);
+        let blown = load.gusts.iter().filter(|g| waits(g.at)).find(|g| self.chance.random::<f64>() < g.share);
+        let stays = early.into_iter().chain(blown.map(|gust| gust.at - self.at)).reduce(f64::min);
         Some(Arrival {
             at: micros(self.at),
             ns,
             key,
             tenant: self.tenants.pick(self.chance.random()),
             client: self.chance.random_range(0..load.clients),
-            stays: leaves.then(|| micros(limit * self.chance.random::<f64>())),
+            stays: stays.map(micros),
             heeds: self.chance.random::<f64>() < load.heed,
         })
     }
--- a/crates/lab/src/oracle.rs
+++ b/crates/lab/src/oracle.rs
@@ -21,6 +21,7 @@
 pub const PUSHED_OVER: &str = "a cache was pushed over";
 pub const HELD_BACK: &str = "a refusal was held back";
 pub const MADE_UP: &str = "a shot for no lookup";
+pub const SENT_ON: &str = "sent on after its client left";
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Breach {
@@ -345,10 +346,20 @@
                 found.push(lookup(HELD_BACK, *at, seen));
             }
         }
+        found.extend(self.sent_on(course).map(|(at, seen)| lookup(SENT_ON, at, seen)));
         found.extend(self.of_shots(course, ns).into_iter().map(|(rule, at, seen)| lookup(rule, at, seen)));
         found.into_iter().for_each(|b| self.breach(b));
     }
 
+    /// A shot whose first byte came long after its client had closed the connection. No standstill excuses it: the end lies
+    /// there to be read.
+    fn sent_on(&self, course: &Course) -> Option<(Micros, String)> {
+        let (left, _) = course.ended.filter(|_| course.outcome == Outcome::Left)?;
+        let by = left + micros(self.experiment.rules.left_ms / 1e3);
+        let shot = course.shots.iter().find(|shot| shot.begun > by)?;
+        Some((shot.begun, format!("{:.3} s after, to cache {}", seconds(shot.begun - left), shot.cache)))
+    }
+
     fn was_stopped(&self, proxy: Index, from: Micros, to: Micros) -> bool {
         self.verdict.stopped.iter().any(|(p, begun, end)| *p == proxy && *begun < to && *end > from)
     }
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -41,6 +41,8 @@
         ("broken", "ring --break drained"),
         ("broken", "ring --break swap"),
         ("broken", "ring --break hold"),
+        // It takes no notice of clients that leave.
+        ("leaving", "ring"),
     ];
     let seen: Vec<_> = runs.map(|(file, proxy)| std::thread::spawn(move || broken(file, proxy))).into();
     let seen: String = seen.into_iter().map(|t| t.join().expect("a run")).collect();
@@ -54,6 +56,7 @@
         ring --break drained: [sent to a drained cache], exit 1
         ring --break swap: [not the answer made for it], exit 1
         ring --break hold: [a refusal was held back], exit 1
+        ring: [sent on after its client left], exit 1
     "#]]
     .assert_eq(&seen);
 }
--- a/crates/proxy/src/sources.rs
+++ b/crates/proxy/src/sources.rs
@@ -17,6 +17,9 @@
 const FIRST_LIST: Duration = Duration::from_secs(5);
 /// A new process waits for the list for so long: the platform gives it 6 s to be ready, and the old one serves meanwhile.
 const LIST_HEARD: Duration = Duration::from_secs(4);
+/// Where lists are pushed, what the proxy's own agent has counts as told from the first moment on: its answer takes some
+/// milliseconds, and where it says nothing for so long it has nothing to say, as while the list is down.
+const OWN_AGENT: Duration = Duration::from_millis(300);
 const LOOK: Duration = Duration::from_millis(10);
 
 pub enum List {
@@ -69,10 +72,16 @@
     /// To be used once there is a list, or where it does not come in time: from a feed the first, and where another process
     /// serves meanwhile, the platform's word on what it was given.
     pub async fn serve(core: &Core, feed: Option<Rc<Feed>>, handed: bool) {
-        let end = Instant::now() + if feed.is_some() { FIRST_LIST } else { LIST_HEARD };
+        let pushed = core.classes.said().get("watched").is_some_and(|watched| watched == "0");
+        let end = Instant::now()
+            + match (&feed, handed) {
+                (Some(_), _) => FIRST_LIST,
+                (None, true) => LIST_HEARD,
+                (None, false) => OWN_AGENT,
+            };
         let there = || match &feed {
             Some(feed) => !feed.lines().is_empty(),
-            None => !handed || core.has_heard_list(),
+            None => !(handed || pushed) || core.has_heard_list(),
         };
         while !there() && Instant::now() < end {
             Timer::after(LOOK).await;
