--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -4,6 +4,8 @@
 mod endings;
 #[path = "sockets/large.rs"]
 mod large;
+#[path = "sockets/leaving.rs"]
+mod leaving;
 #[path = "sockets/operators.rs"]
 mod operators;
 
--- a/crates/proxy/tests/sockets/endings.rs
+++ b/crates/proxy/tests/sockets/endings.rs
@@ -4,35 +4,35 @@
 use std::sync::mpsc::{Receiver, channel};
 
 /// A proxy with settings of the test's own, its list, and what its stand-ins are asked.
-struct Fleet {
-    proxy: Child,
-    addr: SocketAddr,
+pub struct Fleet {
+    pub proxy: Child,
+    pub addr: SocketAddr,
     came: Receiver<Shot>,
     calls: Arc<AtomicUsize>, // to the list
 }
 
 /// A shot at a stand-in, which answers when and as the test says.
-struct Shot {
-    what: String, // the stand-in's name, and the key
-    stream: TcpStream,
+pub struct Shot {
+    pub what: String, // the stand-in's name, and the key
+    pub stream: TcpStream,
 }
 
 impl Shot {
-    fn answer(&mut self, text: &str) {
+    pub fn answer(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).unwrap();
     }
 }
 
 /// A cache as listed, where it listens itself or only holds what connects.
-struct Cache(TcpListener, Value);
+pub struct Cache(TcpListener, pub Value);
 
-fn cache(name: &str) -> Cache {
+pub fn cache(name: &str) -> Cache {
     let (listener, addr) = a_listener();
     Cache(listener, line(name, addr, "SERVING"))
 }
 
 /// One whose connections come up only once the test lets them: the system takes one for it, and that is the test's own.
-fn shut_cache(name: &str) -> (Cache, TcpStream) {
+pub fn shut_cache(name: &str) -> (Cache, TcpStream) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
     socket.listen(0).unwrap();
@@ -43,7 +43,7 @@
 }
 
 impl Cache {
-    fn addr(&self) -> SocketAddr {
+    pub fn addr(&self) -> SocketAddr {
         self.0.local_addr().unwrap()
     }
 
@@ -54,7 +54,7 @@
     }
 
     /// Waits until a connection to it is on its way.
-    fn wait_connecting(&self) {
+    pub fn wait_connecting(&self) {
         let port = format!(":{:04X} 02", self.addr().port());
         wait_for(|| std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&port));
     }
@@ -62,12 +62,12 @@
 
 impl Fleet {
     /// `playing`: those that answer as the test says. `known`: what the list has, unless it is one of the test's own.
-    fn new(playing: Vec<Cache>, known: &[Value], set: impl FnOnce(&mut Value)) -> Fleet {
+    pub fn new(playing: Vec<Cache>, known: &[Value], set: impl FnOnce(&mut Value)) -> Fleet {
         let listed = whole(2, known);
         Fleet::with(playing, known, |listener, calls| list(listener, vec![listed], calls), set)
     }
 
-    fn with(
+    pub fn with(
         playing: Vec<Cache>,
         known: &[Value],
         listing: impl FnOnce(TcpListener, Arc<AtomicUsize>),
@@ -103,12 +103,12 @@
         fleet
     }
 
-    fn of(playing: Vec<Cache>, set: impl FnOnce(&mut Value)) -> Fleet {
+    pub fn of(playing: Vec<Cache>, set: impl FnOnce(&mut Value)) -> Fleet {
         let lines: Vec<Value> = playing.iter().map(|c| c.1.clone()).collect();
         Fleet::new(playing, &lines, set)
     }
 
-    fn write(&self, ns: &str, key: &str) -> TcpStream {
+    pub fn write(&self, ns: &str, key: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.addr).unwrap();
         stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
         self.write_on(&mut stream, ns, key);
@@ -124,11 +124,11 @@
         stream.write_all(text.as_bytes()).unwrap();
     }
 
-    fn shot(&self) -> Shot {
+    pub fn shot(&self) -> Shot {
         self.came.recv_timeout(Duration::from_secs(20)).expect("a shot")
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         Command::new("kill").args([name, &self.proxy.id().to_string()]).status().unwrap();
     }
 
@@ -151,7 +151,7 @@
 }
 
 /// The status, or how the connection ended.
-fn heard(stream: &mut TcpStream) -> String {
+pub fn heard(stream: &mut TcpStream) -> String {
     match message(stream) {
         Some((head, body)) => format!("{} {body}", &head[9..12]).trim_end().to_string(),
         None => "closed".into(),
