After a standstill what came in it is read before anything is written; rests and times bounded

Every shot now waits 2 ms after a standstill (the clock's HEAR), and only then looks at drains, operators' words, the client and the time.

Ruled out: the mark that a shot is written is set in the turn of its last byte (no await between); a withdrawal looks before the write in the same turn.

Also: the rest of a connection is at most half of what it may be kept; times are read as half a year at most, so that none overflows a clock.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -52,6 +52,13 @@
         }
     }
 
+    /// Just after a standstill, waits for the moment in which what came meanwhile is read; else not at all.
+    pub async fn hear(&self) {
+        if self.now() > self.beat.get() + STANDSTILL {
+            Timer::after(HEAR).await;
+        }
+    }
+
     /// What is heard now came after this: now, or before a standstill (a stopped process, a starved core).
     pub fn came_after(&self) -> Tenths {
         let (now, beat) = (self.now(), self.beat.get());
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -4,7 +4,7 @@
 use crate::book::{Book, Note, Shaft, Shooting};
 use crate::core::Core;
 use crate::members::Line;
-use crate::pool::{Conn, REST, SPARE};
+use crate::pool::{Conn, SPARE};
 use crate::rules::Rules;
 use chalkwalk_limits::Table;
 use chalkwalk_net::{wait_until, within};
@@ -238,6 +238,8 @@
 async fn write(core: &Rc<Core>, shooting: &Shooting) -> Result<Rc<Conn>, Ending> {
     let Shooting { lkp, cache, until, by, ask, shaft, .. } = shooting;
     let conn = Rc::new(connection(core, *cache, false).await?);
+    // After a standstill what came in it is read first: a drain, an operator's word, a client's end.
+    core.clock.hear().await;
     // Told since the shot was decided. The grace is for what can't be helped, and how much of it is over is not known here to the
     // moment, as the notice may have waited to be read. A shot so stopped surely has not run, and goes elsewhere.
     if core.book.borrow().is_off(*cache) {
@@ -268,14 +270,8 @@
     let Some(addr) = core.book.borrow().members.addr(cache) else {
         return Err(Ending::Unreachable);
     };
-    while !fresh && let Some(conn) = core.pool.take(cache, addr) {
-        if conn.rested() {
-            return Ok(conn);
-        }
-        Timer::at(conn.since + REST).await;
-        if core.pool.usable(&conn) {
-            return Ok(conn);
-        }
+    if !fresh && let Some(conn) = core.pool.rested(cache, addr).await {
+        return Ok(conn);
     }
     let permit = core.budget.take(|| core.pool.close_longest_idle()).await;
     let connected = within(core.rules.connect_time.get(), Async::<TcpStream>::connect(addr)).await;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -4,7 +4,7 @@
 use crate::budget::Permit;
 use chalkwalk_net::quiet;
 use chalkwalk_policy::Cache;
-use smol::Async;
+use smol::{Async, Timer};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
@@ -24,8 +24,8 @@
     }
 
     /// What came after its last answer has been seen by now.
-    pub fn rested(&self) -> bool {
-        self.since.elapsed() >= REST
+    fn rested(&self, rest: Duration) -> bool {
+        self.since.elapsed() >= rest
     }
 }
 
@@ -42,27 +42,43 @@
 /// milliseconds after the first, and nothing in it tells whose it is: read as the next one's it would be a value that no cache
 /// made for it. Those seen came 1.5 to 5.8 ms after (docs/notes/endings.md); a lookup that finds no other waits for the rest, which
 /// is shorter than a handshake between zones and takes no place at the cache.
-pub const REST: Duration = Duration::from_millis(10);
+const REST: Duration = Duration::from_millis(10);
 
 pub struct Pool {
     idle: RefCell<HashMap<Cache, Vec<Conn>>>,
     longest: Duration,
+    rest: Duration,
 }
 
 impl Pool {
     /// `idle_time`: after which caches close what is idle. It is used for half of that: a cache that closes earlier than
     /// it says is seen by the look at what has come.
     pub fn new(idle_time: Duration) -> Pool {
-        Pool { idle: RefCell::default(), longest: idle_time / 2 }
+        let longest = idle_time / 2;
+        // Half of what it may be kept, where caches close very early.
+        Pool { idle: RefCell::default(), longest, rest: REST.min(longest / 2) }
     }
 
     /// The connection used last of those that have rested, if it can still be used; where none has, the one that will be
-    /// first. Its next use is after its rest.
-    pub fn take(&self, cache: Cache, addr: SocketAddr) -> Option<Conn> {
+    /// first, once it has.
+    pub async fn rested(&self, cache: Cache, addr: SocketAddr) -> Option<Conn> {
+        while let Some(conn) = self.take(cache, addr) {
+            if conn.rested(self.rest) {
+                return Some(conn);
+            }
+            Timer::at(conn.since + self.rest).await;
+            if self.usable(&conn) {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    fn take(&self, cache: Cache, addr: SocketAddr) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let of_cache = idle.get_mut(&cache)?;
         while !of_cache.is_empty() {
-            let conn = of_cache.remove(of_cache.iter().rposition(Conn::rested).unwrap_or(0));
+            let conn = of_cache.remove(of_cache.iter().rposition(|conn| conn.rested(self.rest)).unwrap_or(0));
             if conn.addr == addr && self.usable(&conn) {
                 return Some(conn);
             }
@@ -70,7 +86,7 @@
         None
     }
 
-    pub fn usable(&self, conn: &Conn) -> bool {
+    fn usable(&self, conn: &Conn) -> bool {
         conn.since.elapsed() < self.longest && quiet(&conn.stream)
     }
 
--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -74,6 +74,9 @@
     }
 }
 
+/// No time is longer, in nanoseconds: half a year, so that none added to a clock is beyond what it can tell.
+const LONGEST: f64 = 1.5e16;
+
 fn said(value: &Value, path: &str, form: Form) -> Read<String> {
     let wrong = |kind: &str| format!("setting {path}: expected {kind}, got {value}");
     let number = || value.as_f64().ok_or_else(|| wrong("a number"));
@@ -83,9 +86,11 @@
     };
     match form {
         Number => number().map(|n| n.to_string()),
-        Time => number().map(|n| (n / 1e5).floor().to_string()),
-        Limit => number().map(|n| (n / 1e5).floor().max(if n > 0.0 { 1.0 } else { 0.0 }).to_string()),
-        Rest => number().map(|n| (n / 1e5).ceil().to_string()),
+        Time => number().map(|n| (n.min(LONGEST) / 1e5).floor().to_string()),
+        Limit => {
+            number().map(|n| (n.min(LONGEST) / 1e5).floor().max(if n > 0.0 { 1.0 } else { 0.0 }).to_string())
+        }
+        Rest => number().map(|n| (n.min(LONGEST) / 1e5).ceil().to_string()),
         Flag => value.as_bool().map(|b| u8::from(b).to_string()).ok_or_else(|| wrong("true or false")),
         Word => value.as_str().map(|w| in_house_words(w).to_string()).ok_or_else(|| wrong("a text")),
     }
@@ -197,14 +202,15 @@
                    "ceilings": {"connectTimeoutNs": ns},
                    "namespaces": [{"name": "n", "dedupWindowNs": ns, "targetTimeNs": ns, "timeLimitNs": ns}]})
         };
-        let told = [0.0, 1.0, 49_999.0, 50_000.0, 99_999.0, 100_000.0, 150_000.0, 199_999.0].map(|ns| {
-            let rules = read(settings(ns).as_object().unwrap()).unwrap().rules;
-            let of = |name: &str| rules[name].clone();
-            let whole = ["drain grace", "ask time", "namespace 0 window"].map(of).join(" ");
-            let limits =
-                ["connect time", "namespace 0 target time", "namespace 0 time limit"].map(of).join(" ");
-            format!("{ns}: {whole}, {limits}, {}", ["cold time", "key quiet"].map(of).join(" "))
-        });
+        let told =
+            [0.0, 1.0, 49_999.0, 50_000.0, 99_999.0, 100_000.0, 150_000.0, 199_999.0, 1e300].map(|ns| {
+                let rules = read(settings(ns).as_object().unwrap()).unwrap().rules;
+                let of = |name: &str| rules[name].clone();
+                let whole = ["drain grace", "ask time", "namespace 0 window"].map(of).join(" ");
+                let limits =
+                    ["connect time", "namespace 0 target time", "namespace 0 time limit"].map(of).join(" ");
+                format!("{ns}: {whole}, {limits}, {}", ["cold time", "key quiet"].map(of).join(" "))
+            });
         expect_test::expect![[r#"
             0: 0 0 0, 0 0 0, 0 0
             1: 0 0 0, 1 1 1, 1 1
@@ -213,7 +219,8 @@
             99999: 0 0 0, 1 1 1, 1 1
             100000: 1 1 1, 1 1 1, 1 1
             150000: 1 1 1, 1 1 1, 2 2
-            199999: 1 1 1, 1 1 1, 2 2"#]]
+            199999: 1 1 1, 1 1 1, 2 2
+            1000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000: 150000000000 150000000000 150000000000, 150000000000 150000000000 150000000000, 150000000000 150000000000"#]]
         .assert_eq(&told.join("\n"));
     }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -82,9 +82,11 @@
         let namespaces = if resp.is_some() { Vec::new() } else { namespaces };
         let door = http::Door::new(core.clone(), namespaces);
         let feed = list.as_ref().and_then(List::feed);
+        let pushed = matches!(list, Some(List::Platform(_)))
+            && core.classes.said().get("watched").is_some_and(|watched| watched == "0");
         let operators = console_listener.map(|listener| Operators::start(&core, listener));
         let accepting =
-            core.ex.spawn(open_doors(core.clone(), door.clone(), listener, feed, (handed, listen)));
+            core.ex.spawn(open_doors(core.clone(), door.clone(), listener, feed, (handed, pushed, listen)));
         loop {
             match signals.next().await {
                 Some(Ok(Signal::Hup)) => {
@@ -113,10 +115,10 @@
     door: Rc<http::Door>,
     listener: Async<TcpListener>,
     feed: Option<Rc<Feed>>,
-    (handed, listen): (bool, SocketAddr),
+    (handed, pushed, listen): (bool, bool, SocketAddr),
 ) {
     let serves = async {
-        List::serve(&core, feed, handed).await;
+        List::serve(&core, feed, (handed, pushed)).await;
         info!(core.log, "serving"; "listen" => %listen);
     };
     if handed {
--- a/crates/proxy/src/sources.rs
+++ b/crates/proxy/src/sources.rs
@@ -70,9 +70,8 @@
     }
 
     /// To be used once there is a list, or where it does not come in time: from a feed the first, and where another process
-    /// serves meanwhile, the platform's word on what it was given.
-    pub async fn serve(core: &Core, feed: Option<Rc<Feed>>, handed: bool) {
-        let pushed = core.classes.said().get("watched").is_some_and(|watched| watched == "0");
+    /// serves meanwhile, the platform's word on what it was given; where the platform pushes it, what its agent has.
+    pub async fn serve(core: &Core, feed: Option<Rc<Feed>>, (handed, pushed): (bool, bool)) {
         let end = Instant::now()
             + match (&feed, handed) {
                 (Some(_), _) => FIRST_LIST,
--- a/crates/proxy/tests/sockets/endings.rs
+++ b/crates/proxy/tests/sockets/endings.rs
@@ -351,9 +351,15 @@
     panic!("no key was the open cache's");
 }
 
-/// A drain that is told while a shot waits for its connection to that cache: the shot goes elsewhere.
+/// A drain that is told while a shot waits for its connection to that cache: the shot goes elsewhere. So it does where both come
+/// in a standstill that outlasts the grace, and are read in one turn.
 #[test]
 fn a_drain_told_while_a_connection_comes_up_takes_the_shot_elsewhere() {
+    drained_meanwhile(false);
+    drained_meanwhile(true);
+}
+
+fn drained_meanwhile(in_a_standstill: bool) {
     let (shut, _filler) = shut_cache("a");
     let open = cache("b");
     let (known, both) = (vec![shut.1.clone()], [shut.1.clone(), open.1.clone()]);
@@ -361,6 +367,8 @@
     // The drain and the other cache are the answer to the second call, which is held until the shot waits.
     let (go, told) = channel::<()>();
     let answers = [whole(2, &known), whole(3, &[drained, both[1].clone()])];
+    let written_to = Arc::new(AtomicUsize::new(0));
+    let counts = written_to.clone();
     let listing = |listener: TcpListener, calls: Arc<AtomicUsize>| {
         spawn(move || {
             for mut stream in listener.incoming().flatten() {
@@ -374,6 +382,7 @@
                     if stream.write_all((head + body).as_bytes()).is_err() {
                         break;
                     }
+                    counts.fetch_add(1, Ordering::SeqCst);
                 }
             }
         });
@@ -381,10 +390,22 @@
     let fleet = Fleet::with(vec![open], &known, listing, patient);
     let mut client = fleet.write("page", "k");
     shut.wait_connecting();
-    go.send(()).unwrap();
-    // It has read the answer as it calls again.
-    wait_for(|| fleet.calls.load(Ordering::SeqCst) > 2);
-    let shot = fleet.standing(|| shut.let_in());
+    if !in_a_standstill {
+        go.send(()).unwrap();
+        // It has read the answer as it calls again.
+        wait_for(|| fleet.calls.load(Ordering::SeqCst) > 2);
+    }
+    let shot = fleet.standing(|| {
+        let shot = shut.let_in();
+        if in_a_standstill {
+            // After the connection, as the system tells of what came in that order.
+            go.send(()).unwrap();
+            wait_for(|| written_to.load(Ordering::SeqCst) > 1);
+            // The grace is a second.
+            sleep(Duration::from_millis(1200));
+        }
+        shot
+    });
     assert_eq!(written(shot), "nothing");
     let mut elsewhere = fleet.shot();
     assert_eq!(elsewhere.what, "b k");
