--- a/crates/proxy/tests/sockets/endings.rs
+++ b/crates/proxy/tests/sockets/endings.rs
@@ -412,3 +412,62 @@
     elsewhere.answer(HELD);
     assert_eq!(heard(&mut client), "200 value");
 }
+
+/// A cache that resets in the middle of a long body has surely not run it, and a single-use lookup goes on to the next.
+#[test]
+fn a_reset_inside_a_body_has_not_run_and_a_single_use_lookup_goes_on() {
+    const BODY: usize = 20 << 20;
+    let (cuts, whole_of) = (cache("a"), cache("b"));
+    let lines = vec![cuts.1.clone(), whole_of.1.clone()];
+    let fleet = Fleet::new(vec![], &lines, |said| {
+        said["limits"]["memory_mb"] = json!(256);
+        said["settings"]["familyInfo"] = json!({"mode": "through"});
+        said["settings"]["namespaces"][1] = namespace("once", "single_shot", 9000);
+    });
+    // Whichever is asked first resets after its first byte, the other takes all.
+    let first = Arc::new(AtomicUsize::new(0));
+    let (tell, told) = channel();
+    for Cache(listener, _) in [cuts, whole_of] {
+        let (first, tell) = (first.clone(), tell.clone());
+        spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                stream.read_exact(&mut [0]).unwrap();
+                if first.fetch_add(1, Ordering::SeqCst) == 0 {
+                    // What is unread makes it a reset.
+                    drop(stream);
+                    continue;
+                }
+                let (mut taken, mut buf) = (1, vec![0; 1 << 16]);
+                while taken < BODY {
+                    taken += stream.read(&mut buf).unwrap();
+                }
+                stream.write_all(HELD.as_bytes()).unwrap();
+                _ = tell.send(());
+            }
+        });
+    }
+    let mut client = TcpStream::connect(fleet.addr).unwrap();
+    let head = format!(
+        "PUT /api/k HTTP/1.1\r\nX-Correlation-Id: b\r\nX-Service-Class: once\r\nX-Time-Left: 9\r\nContent-Length: {BODY}\r\n\r\n"
+    );
+    client.write_all(head.as_bytes()).unwrap();
+    client.write_all(&vec![b'v'; BODY]).unwrap();
+    assert_eq!(heard(&mut client), "200 value");
+    told.recv_timeout(Duration::from_secs(20)).unwrap();
+    assert_eq!(first.load(Ordering::SeqCst), 2);
+}
+
+/// A client that goes while a long answer flows to it takes the shot along: its cache is not read on for nobody.
+#[test]
+fn who_leaves_while_an_answer_flows_takes_its_shot_along() {
+    let fleet = Fleet::of(vec![cache("a")], |_| ());
+    let mut client = fleet.write("page", "k");
+    let mut shot = fleet.shot();
+    shot.answer("HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n");
+    shot.answer(&"v".repeat(100_000));
+    client.read_exact(&mut [0; 50_000]).unwrap();
+    drop(client);
+    // Within what an answer may be at the longest: the cache's own connection ends.
+    let part = "v".repeat(100_000);
+    assert!((0..290).any(|_| shot.stream.write_all(part.as_bytes()).is_err()));
+}
