A slow disk holds up no lookup: handover files are read and written beside the proxy's thread

Ruled out: CPU (0.14 s at most in a second), waits for places (counted, none). Bans hold at once and answers come within 0.7 s. Test: a pipe in the file's place; the mutant hangs in it.

--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -42,14 +42,16 @@
     NotKept,
 }
 
-/// What operators may do to a proxy. Each returns once it is in force.
+pub type Doing = Pin<Box<dyn Future<Output = Done>>>;
+
+/// What operators may do to a proxy. Each comes to its end once it is in force.
 pub trait Controls {
     /// Whether this process is ready to serve.
-    fn ready(&self) -> Done;
+    fn ready(self: Rc<Self>) -> Doing;
     /// Leaves a cache out, or puts it back.
-    fn cache(&self, id: &str, out: bool) -> Done;
+    fn cache(self: Rc<Self>, id: String, out: bool) -> Doing;
     /// Empties the proxy, or ends that.
-    fn service(&self, out: bool) -> Done;
+    fn service(self: Rc<Self>, out: bool) -> Doing;
 }
 
 /// Callers whose call is not whole yet, the one that came first in front.
@@ -93,8 +95,10 @@
                     let said = said.or(made_way).await;
                     silent.borrow_mut().retain(|(other, _)| *other != next);
                     if let Some(said) = said {
-                        let (status, words) =
-                            said.map_or_else(|status| (status, ""), |call| answer(&*controls, &call));
+                        let (status, words) = match said {
+                            Ok(call) => answer(controls, &call).await,
+                            Err(status) => (status, ""),
+                        };
                         let told = tell(&stream, status, words);
                         within(LINGER, told).await;
                     }
@@ -120,24 +124,25 @@
     Ok((message.word(&message.method).to_string(), message.word(&message.target).to_string()))
 }
 
-fn answer(controls: &dyn Controls, (method, target): &(String, String)) -> (u16, &'static str) {
+async fn answer(controls: Rc<dyn Controls>, (method, target): &(String, String)) -> (u16, &'static str) {
     let path = target.split('?').next().unwrap_or("");
     let parts: Vec<&str> = path.strip_prefix("/control/").unwrap_or("").split('/').collect();
-    let (wanted, call): (&str, Box<dyn Fn() -> Done>) = match parts[..] {
-        ["ready"] => ("GET", Box::new(|| controls.ready())),
-        ["out-of-service"] => ("POST", Box::new(|| controls.service(true))),
-        ["in-service"] => ("POST", Box::new(|| controls.service(false))),
+    let (wanted, call): (&str, Box<dyn FnOnce() -> Doing>) = match parts[..] {
+        ["ready"] => ("GET", Box::new(move || controls.ready())),
+        ["out-of-service"] => ("POST", Box::new(move || controls.service(true))),
+        ["in-service"] => ("POST", Box::new(move || controls.service(false))),
         ["cache-nodes", part, word @ ("offline" | "online")] => {
-            let id = percent_decode_str(part).decode_utf8().ok().filter(|id| !id.is_empty());
+            let id =
+                percent_decode_str(part).decode_utf8().ok().filter(|id| !id.is_empty()).map(String::from);
             let Some(id) = id else { return (400, "an id that makes no sense\n") };
-            ("POST", Box::new(move || controls.cache(&id, word == "offline")))
+            ("POST", Box::new(move || controls.cache(id, word == "offline")))
         }
         _ => return (404, "no such call\n"),
     };
     if method != wanted {
         return (405, "another method\n");
     }
-    match call() {
+    match call().await {
         Done::Yes => (200, "yes\n"),
         Done::No => (503, "no\n"),
         Done::Unknown => (404, "nobody has that id\n"),
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -1,12 +1,15 @@
 //! What operators say to this proxy, kept for the process that comes after it, and heard from the one before it.
 
-use crate::pages::Pages;
-use chalkwalk_console::{self as console, Controls, Done};
+use crate::pages::{Pages, Seen};
+use chalkwalk_console::{self as console, Controls, Doing, Done};
 use chalkwalk_core::core::Core;
 use chalkwalk_core::flow;
-use chalkwalk_handover::{Page, Tenths};
+use chalkwalk_handover::Page;
+use chalkwalk_net::within;
 use slog::{info, warn};
-use smol::{Async, Task, Timer};
+use smol::channel::bounded;
+use smol::lock::Mutex;
+use smol::{Async, Task, Timer, unblock};
 use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -16,8 +19,15 @@
 /// be in force everywhere.
 const READ_AGAIN: Duration = Duration::from_millis(100);
 
+/// How long an answer waits for its word to be kept, where the disk is slow: it is due within a second.
+const KEPT_BY: Duration = Duration::from_millis(700);
+/// How long the end waits to know who takes over.
+const LAST_LOOK: Duration = Duration::from_millis(200);
+
 pub struct Operators {
     core: Rc<Core>,
+    /// One writes at a time, and the last has the last word.
+    writing: Mutex<()>,
     pages: RefCell<Pages>,
     /// Holds the places that are another process's, while there is one.
     lent: RefCell<Option<Task<()>>>,
@@ -28,9 +38,15 @@
     pub fn start(core: &Rc<Core>, listener: Async<TcpListener>) -> Rc<Operators> {
         let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(Into::into);
         let pages = Pages::new(folder, &core.rules.name, core.clock.now());
-        let operators =
-            Rc::new(Operators { core: core.clone(), pages: RefCell::new(pages), lent: RefCell::default() });
-        operators.read();
+        let operators = Rc::new(Operators {
+            core: core.clone(),
+            writing: Mutex::new(()),
+            pages: RefCell::new(pages),
+            lent: RefCell::default(),
+        });
+        // Nobody is served yet: it may wait for the disk.
+        let glass = operators.pages.borrow().glass();
+        operators.take(glass.map(|glass| glass.look()).unwrap_or_default());
         core.ex.spawn(operators.clone().follow()).detach();
         let ex = core.clone();
         let spawn = move |task: console::Task| ex.ex.spawn(task).detach();
@@ -40,26 +56,40 @@
 
     async fn follow(self: Rc<Operators>) {
         loop {
-            self.read();
-            self.tell_ready();
+            self.read().await;
+            self.tell_ready().await;
             Timer::after(READ_AGAIN).await;
         }
     }
 
     /// Has the others know whether this process serves.
-    fn tell_ready(&self) {
+    async fn tell_ready(&self) {
         let (ready, serves) = (self.pages.borrow().own.ready.is_some(), self.core.life.serves());
         if serves != ready {
             self.pages.borrow_mut().own.ready = serves.then(|| self.core.clock.now());
-            self.write();
+            self.write().await;
             info!(self.core.log, "{}", if serves { "ready" } else { "no longer ready" });
         }
     }
 
-    /// Reads what the other processes say.
-    pub fn read(&self) {
-        let (now, core) = (self.core.clock.now(), &self.core);
-        let news = self.pages.borrow_mut().read(now, &core.log);
+    /// Reads what the other processes say, beside this thread: a busy disk holds up whoever asks it.
+    async fn read(&self) {
+        let Some(glass) = self.pages.borrow().glass() else { return };
+        let dead = self.take(unblock(|| glass.look()).await);
+        if !dead.is_empty() && self.write().await {
+            unblock(move || dead.iter().for_each(|path| _ = std::fs::remove_file(path))).await;
+        }
+    }
+
+    /// The same once more as this process ends, if the disk allows it soon.
+    pub async fn read_soon(&self) {
+        within(LAST_LOOK, self.read()).await;
+    }
+
+    /// Takes what the other processes say, and returns the files that are done with.
+    fn take(&self, seen: Vec<Seen>) -> Vec<std::path::PathBuf> {
+        let core = &self.core;
+        let news = self.pages.borrow_mut().take(seen, &core.log);
         core.life.succeed(news.succeeded);
         self.share(news.company);
         for id in news.caches {
@@ -70,6 +100,7 @@
             let service = self.pages.borrow().own.service;
             core.life.put_out(service.out.then_some(service.at));
         }
+        news.dead
     }
 
     /// Descriptors are one proxy's, whatever processes it has: half of them is the other's while there is one.
@@ -87,57 +118,100 @@
     }
 
     /// Whether the others can read what this one has to say.
-    fn write(&self) -> bool {
-        let written = self.pages.borrow_mut().write(self.core.clock.now());
+    async fn write(&self) -> bool {
+        let _one = self.writing.lock().await;
+        let page = self.pages.borrow().own.clone();
+        self.put(page).await
+    }
+
+    async fn put(&self, page: Page) -> bool {
+        let pen = self.pages.borrow().pen(page, self.core.clock.now());
+        let written = match pen {
+            Ok(Some(pen)) => unblock(|| pen.write()).await,
+            Ok(None) => Ok(()),
+            Err(e) => Err(e),
+        };
         if let Err(e) = &written {
             warn!(self.core.log, "handover not written"; "fault" => %e);
         }
         written.is_ok()
     }
 
-    /// Keeps what an operator says where the other processes find it; where that fails it is not said.
-    fn keep(&self, say: impl FnOnce(&mut Page, Tenths)) -> bool {
-        let before = self.pages.borrow().own.clone();
-        say(&mut self.pages.borrow_mut().own, self.core.clock.now());
-        let kept = self.write();
-        if !kept {
-            self.pages.borrow_mut().own = before;
+    /// Keeps what an operator says where the other processes find it; where that fails it is not said. Goes on by itself, and
+    /// tells how it went, or nothing where the disk takes too long.
+    async fn keep(self: &Rc<Self>, say: impl Fn(&mut Page) + 'static) -> Option<bool> {
+        let (tell, told) = bounded(1);
+        let this = self.clone();
+        let keeping = async move {
+            let _one = this.writing.lock().await;
+            let mut page = this.pages.borrow().own.clone();
+            say(&mut page);
+            let kept = this.put(page).await;
+            if kept {
+                say(&mut this.pages.borrow_mut().own);
+            }
+            _ = tell.try_send(kept);
+        };
+        self.core.ex.spawn(keeping).detach();
+        let kept = within(KEPT_BY, told.recv()).await.and_then(Result::ok);
+        if kept.is_none() {
+            warn!(self.core.log, "handover late");
         }
         kept
     }
-}
 
-impl Controls for Operators {
-    fn ready(&self) -> Done {
-        // The old process is told to end as soon as this says yes, and has to know then who takes over.
-        self.tell_ready();
-        if self.core.life.serves() { Done::Yes } else { Done::No }
-    }
-
-    fn cache(&self, id: &str, out: bool) -> Done {
-        if !self.core.book.borrow().has(id) {
+    async fn do_cache(self: Rc<Self>, id: String, out: bool) -> Done {
+        if !self.core.book.borrow().has(&id) {
             return Done::Unknown;
         }
-        if self.pages.borrow().own.is_out(id) != out {
-            if !self.keep(|own, now| own.say(id, out, now)) {
+        if self.pages.borrow().own.is_out(&id) != out {
+            // In force at once, whatever the disk does: it is due within a second.
+            let now = self.core.clock.now();
+            flow::bar(&self.core, &id, out, now);
+            let of = id.clone();
+            if self.keep(move |own| own.say(&of, out, now)).await == Some(false) {
+                flow::bar(&self.core, &id, !out, now);
                 return Done::NotKept;
             }
-            let word = self.pages.borrow().own.word(id);
-            flow::bar(&self.core, id, word.out, word.at);
             info!(self.core.log, "{}", if out { "cache left out" } else { "cache put back" }; "cache" => id);
         }
         Done::Yes
     }
 
-    fn service(&self, out: bool) -> Done {
+    async fn do_service(self: Rc<Self>, out: bool) -> Done {
         if self.pages.borrow().own.service.out != out {
-            if !self.keep(|own, now| own.say_service(out, now)) {
+            let now = self.core.clock.now();
+            self.core.life.put_out(out.then_some(now));
+            if self.keep(move |own| own.say_service(out, now)).await == Some(false) {
+                self.core.life.put_out((!out).then_some(now));
                 return Done::NotKept;
             }
-            let since = self.pages.borrow().own.service.at;
-            self.core.life.put_out(out.then_some(since));
             info!(self.core.log, "{}", if out { "out of service" } else { "in service" });
         }
         Done::Yes
     }
+
+    async fn do_ready(self: Rc<Self>) -> Done {
+        // The old process is told to end as soon as this says yes, and has to know then who takes over.
+        let told = async {
+            self.tell_ready().await;
+            _ = self.writing.lock().await;
+        };
+        let told = within(KEPT_BY, told).await.is_some();
+        if told && self.core.life.serves() { Done::Yes } else { Done::No }
+    }
+}
+
+impl Controls for Operators {
+    fn ready(self: Rc<Self>) -> Doing {
+        Box::pin(self.do_ready())
+    }
+
+    fn cache(self: Rc<Self>, id: String, out: bool) -> Doing {
+        Box::pin(self.do_cache(id, out))
+    }
+
+    fn service(self: Rc<Self>, out: bool) -> Doing {
+        Box::pin(self.do_service(out))
+    }
 }
--- a/crates/proxy/src/pages.rs
+++ b/crates/proxy/src/pages.rs
@@ -24,6 +24,8 @@
     pub succeeded: bool,
     /// Another process of this proxy is alive.
     pub company: bool,
+    /// Files of processes that are gone: what they said is in the own page by now.
+    pub dead: Vec<PathBuf>,
 }
 
 const ENDING: &str = "handover";
@@ -40,44 +42,38 @@
         folder.join(format!("chalkwalk.{}.{}.{ending}", self.name, self.own.pid))
     }
 
-    /// Writes the own file whole, or leaves it as it was.
-    pub fn write(&mut self, now: Tenths) -> io::Result<()> {
-        let Some(folder) = &self.folder else { return Ok(()) };
-        self.own.tidy(now);
-        let (new, text) = (self.file(folder, "new"), self.own.written());
+    /// That page as the own file, still to be written. Without a folder there is nothing to write.
+    pub fn pen(&self, mut page: Page, now: Tenths) -> io::Result<Option<Pen>> {
+        let Some(folder) = &self.folder else { return Ok(None) };
+        page.tidy(now);
+        let text = page.written();
         if text.len() > LONGEST {
             return Err(io::Error::other("more caches out than are kept"));
         }
-        fs::write(&new, text)?;
-        fs::rename(new, self.file(folder, ENDING))
+        Ok(Some(Pen { new: self.file(folder, "new"), file: self.file(folder, ENDING), text }))
     }
 
-    /// Reads what the others say; what can't be read is passed over, and told once.
-    pub fn read(&mut self, now: Tenths, log: &Logger) -> News {
+    /// What the others have written, still to be read.
+    pub fn glass(&self) -> Option<Glass> {
+        let folder = self.folder.clone()?;
+        let (start, own_file) = (format!("chalkwalk.{}.", self.name), self.file(&folder, ENDING));
+        Some(Glass { folder, start, own_file })
+    }
+
+    /// Takes what the others say; what can't be read is passed over, and told once.
+    pub fn take(&mut self, seen: Vec<Seen>, log: &Logger) -> News {
         let mut news = News::default();
-        let Some(folder) = self.folder.clone() else { return news };
-        let start = format!("chalkwalk.{}.", self.name);
-        let Ok(listed) = fs::read_dir(&folder) else { return news };
-        let (own_file, mut others) = (self.file(&folder, ENDING), Vec::new());
-        for path in listed.flatten().map(|entry| entry.path()) {
-            let name = path.file_name().and_then(|name| name.to_str()).unwrap_or("");
-            if path != own_file && name.starts_with(&start) && name.ends_with(ENDING) {
-                others.push(path);
-            }
-        }
-        others.sort();
-        for path in others {
-            match page(&path) {
+        for Seen { path, page, alive } in seen {
+            match page {
                 Ok(other) => {
                     let (caches, service) = self.own.merge(&other);
                     news.caches.extend(caches);
                     news.service |= service;
-                    if Path::new("/proc").join(other.pid.to_string()).exists() {
+                    if alive {
                         news.company = true;
                         news.succeeded |= self.own.succeeded_by(&other);
-                    } else if self.own.ready.is_some() && self.write(now).is_ok() {
-                        // What it said is in the own file by now.
-                        _ = fs::remove_file(&path);
+                    } else if self.own.ready.is_some() {
+                        news.dead.push(path);
                     }
                 }
                 Err(fault) => {
@@ -92,6 +88,56 @@
     }
 }
 
+/// What is to be written. A disk may hold up whoever writes for seconds, so it is done beside the proxy's own thread.
+pub struct Pen {
+    new: PathBuf,
+    file: PathBuf,
+    text: String,
+}
+
+impl Pen {
+    /// Writes the file whole, or leaves it as it was; blocks.
+    pub fn write(self) -> io::Result<()> {
+        fs::write(&self.new, self.text)?;
+        fs::rename(self.new, self.file)
+    }
+}
+
+/// Where to look for what others have written.
+pub struct Glass {
+    folder: PathBuf,
+    start: String,
+    own_file: PathBuf,
+}
+
+/// One other's file.
+pub struct Seen {
+    path: PathBuf,
+    page: Result<Page, String>,
+    alive: bool, // its process
+}
+
+impl Glass {
+    /// Reads them all; blocks.
+    pub fn look(self) -> Vec<Seen> {
+        let Ok(listed) = fs::read_dir(&self.folder) else { return Vec::new() };
+        let mut others = Vec::new();
+        for path in listed.flatten().map(|entry| entry.path()) {
+            let name = path.file_name().and_then(|name| name.to_str()).unwrap_or("");
+            if path != self.own_file && name.starts_with(&self.start) && name.ends_with(ENDING) {
+                others.push(path);
+            }
+        }
+        others.sort();
+        let seen = |path: PathBuf| {
+            let page = page(&path);
+            let alive = page.as_ref().is_ok_and(|p| Path::new("/proc").join(p.pid.to_string()).exists());
+            Seen { path, page, alive }
+        };
+        others.into_iter().map(seen).collect()
+    }
+}
+
 fn page(path: &Path) -> Result<Page, String> {
     let mut text = String::new();
     let file = fs::File::open(path).map_err(|e| e.to_string())?;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -98,7 +98,9 @@
             }
         }
         // Whether another process has taken over is known as of this moment.
-        operators.iter().for_each(|operators| operators.read());
+        if let Some(operators) = &operators {
+            operators.read_soon().await;
+        }
         drain::leave(&core, accepting).await;
         core.stop_capture();
     }));
--- a/crates/proxy/tests/sockets/operators.rs
+++ b/crates/proxy/tests/sockets/operators.rs
@@ -389,3 +389,25 @@
         handed-over: 300 of 300 resolved; some of each third: [false, false, true]"#]]
     .assert_eq(&seen.join("\n"));
 }
+
+/// A disk that holds up whoever writes to it holds up no lookup and no answer to operators, and what they said is in force.
+#[test]
+fn a_disk_that_stands_still_holds_up_nobody() {
+    let (told, lines) = caches(&["amber", "birch"]);
+    let held = Held::new("slow-disk", &lines);
+    let process = held.start();
+    process.wait_ready();
+    // Whoever opens a pipe to write waits for a reader, and there is none.
+    let pipe = held.folder.join(format!("chalkwalk.p.{}.new", process.child.id()));
+    assert!(Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+    assert_eq!(process.call("POST", "/control/cache-nodes/amber/offline"), "200");
+    let mut client = held.connect();
+    let answers: Vec<String> = (0..8).map(|i| ask(&mut client, &format!("d{i}"))).collect();
+    assert_eq!(answers, ["200"; 8]);
+    let seen = told.0.lock().unwrap().clone();
+    assert!(seen.iter().all(|line| line.starts_with("birch")), "{seen:?}");
+    // Two in a row wait for the same disk.
+    assert_eq!(process.call("POST", "/control/out-of-service"), "200");
+    std::fs::read(&pipe).unwrap();
+    assert_eq!(process.call("GET", "/control/ready"), "200");
+}
