What operators said last holds on a slow disk too, and the end counts from its signal

Reread: while a ban waited for the disk, a put-back was compared with the page before it, said yes and did nothing; a failed late write left a ban that no page knew; settled words were no longer forgotten in memory; and waiting for the handover file at SIGTERM moved the whole end by up to 0.2 s, past its 0.05 s before SIGKILL. The own page now says what is in force, is written from as it is, and is taken back only where nothing else was said since; the end counts from the signal.

The test of the standing disk puts a cache back and another out while the first word waits. All tests of operators pass (8).

--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -29,10 +29,9 @@
     (STILL_ACCEPTING.min(last - LAST_COMERS), last)
 }
 
-/// From the word to end to the last phase. `accepting` is the doors' task, which ends once `Emptying` is reached and whoever
+/// From the word to end, which came at that moment, to the last phase. `accepting` is the doors' task, which ends once `Emptying` is reached and whoever
 /// has a connection by then is let in.
-pub async fn leave(core: &Rc<Core>, accepting: Task<()>) {
-    let told = core.clock.now();
+pub async fn leave(core: &Rc<Core>, accepting: Task<()>, told: Tenths) {
     let (accepting_until, last) = terms(core.classes.longest_limit());
     let last = told + last;
     core.leave(told, last);
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -4,7 +4,6 @@
 use chalkwalk_console::{self as console, Controls, Doing, Done};
 use chalkwalk_core::core::Core;
 use chalkwalk_core::flow;
-use chalkwalk_handover::Page;
 use chalkwalk_net::within;
 use slog::{info, warn};
 use smol::channel::bounded;
@@ -120,12 +119,7 @@
     /// Whether the others can read what this one has to say.
     async fn write(&self) -> bool {
         let _one = self.writing.lock().await;
-        let page = self.pages.borrow().own.clone();
-        self.put(page).await
-    }
-
-    async fn put(&self, page: Page) -> bool {
-        let pen = self.pages.borrow().pen(page, self.core.clock.now());
+        let pen = self.pages.borrow_mut().pen(self.core.clock.now());
         let written = match pen {
             Ok(Some(pen)) => unblock(|| pen.write()).await,
             Ok(None) => Ok(()),
@@ -137,20 +131,13 @@
         written.is_ok()
     }
 
-    /// Keeps what an operator says where the other processes find it; where that fails it is not said. Goes on by itself, and
-    /// tells how it went, or nothing where the disk takes too long.
-    async fn keep(self: &Rc<Self>, say: impl Fn(&mut Page) + 'static) -> Option<bool> {
+    /// Has what is said by now where the other processes find it, and tells whether it is, or nothing where the disk takes too
+    /// long: it is then written as soon as that allows.
+    async fn keep(self: &Rc<Self>) -> Option<bool> {
         let (tell, told) = bounded(1);
         let this = self.clone();
         let keeping = async move {
-            let _one = this.writing.lock().await;
-            let mut page = this.pages.borrow().own.clone();
-            say(&mut page);
-            let kept = this.put(page).await;
-            if kept {
-                say(&mut this.pages.borrow_mut().own);
-            }
-            _ = tell.try_send(kept);
+            _ = tell.try_send(this.write().await);
         };
         self.core.ex.spawn(keeping).detach();
         let kept = within(KEPT_BY, told.recv()).await.and_then(Result::ok);
@@ -164,30 +151,46 @@
         if !self.core.book.borrow().has(&id) {
             return Done::Unknown;
         }
-        if self.pages.borrow().own.is_out(&id) != out {
-            // In force at once, whatever the disk does: it is due within a second.
-            let now = self.core.clock.now();
-            flow::bar(&self.core, &id, out, now);
-            let of = id.clone();
-            if self.keep(move |own| own.say(&of, out, now)).await == Some(false) {
-                flow::bar(&self.core, &id, !out, now);
-                return Done::NotKept;
+        if self.pages.borrow().own.is_out(&id) == out {
+            return Done::Yes;
+        }
+        // In force at once, whatever the disk does: it is due within a second.
+        let before = self.pages.borrow().own.caches.get(&id).copied();
+        self.pages.borrow_mut().own.say(&id, out, self.core.clock.now());
+        let said = self.pages.borrow().own.word(&id);
+        flow::bar(&self.core, &id, out, said.at);
+        if self.keep().await == Some(false) {
+            // Unless somebody has said something else meanwhile. A cache that was never out is not taken for cold.
+            if self.pages.borrow().own.word(&id) == said {
+                let own = &mut self.pages.borrow_mut().own;
+                _ = match before {
+                    Some(word) => own.caches.insert(id.clone(), word),
+                    None => own.caches.remove(&id),
+                };
+                flow::bar(&self.core, &id, !out, before.unwrap_or_default().at);
             }
-            info!(self.core.log, "{}", if out { "cache left out" } else { "cache put back" }; "cache" => id);
+            return Done::NotKept;
         }
+        info!(self.core.log, "{}", if out { "cache left out" } else { "cache put back" }; "cache" => id);
         Done::Yes
     }
 
     async fn do_service(self: Rc<Self>, out: bool) -> Done {
-        if self.pages.borrow().own.service.out != out {
-            let now = self.core.clock.now();
-            self.core.life.put_out(out.then_some(now));
-            if self.keep(move |own| own.say_service(out, now)).await == Some(false) {
-                self.core.life.put_out((!out).then_some(now));
-                return Done::NotKept;
+        let before = self.pages.borrow().own.service;
+        if before.out == out {
+            return Done::Yes;
+        }
+        self.pages.borrow_mut().own.say_service(out, self.core.clock.now());
+        let said = self.pages.borrow().own.service;
+        self.core.life.put_out(out.then_some(said.at));
+        if self.keep().await == Some(false) {
+            if self.pages.borrow().own.service == said {
+                self.pages.borrow_mut().own.service = before;
+                self.core.life.put_out(before.out.then_some(before.at));
             }
-            info!(self.core.log, "{}", if out { "out of service" } else { "in service" });
+            return Done::NotKept;
         }
+        info!(self.core.log, "{}", if out { "out of service" } else { "in service" });
         Done::Yes
     }
 
--- a/crates/proxy/src/pages.rs
+++ b/crates/proxy/src/pages.rs
@@ -42,11 +42,11 @@
         folder.join(format!("chalkwalk.{}.{}.{ending}", self.name, self.own.pid))
     }
 
-    /// That page as the own file, still to be written. Without a folder there is nothing to write.
-    pub fn pen(&self, mut page: Page, now: Tenths) -> io::Result<Option<Pen>> {
+    /// The own page as a file, still to be written. Without a folder there is nothing to write.
+    pub fn pen(&mut self, now: Tenths) -> io::Result<Option<Pen>> {
+        self.own.tidy(now);
         let Some(folder) = &self.folder else { return Ok(None) };
-        page.tidy(now);
-        let text = page.written();
+        let text = self.own.written();
         if text.len() > LONGEST {
             return Err(io::Error::other("more caches out than are kept"));
         }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -97,11 +97,12 @@
                 None | Some(Err(_)) => _ = Timer::after(Duration::from_secs(1)).await,
             }
         }
+        let told = core.clock.now();
         // Whether another process has taken over is known as of this moment.
         if let Some(operators) = &operators {
             operators.read_soon().await;
         }
-        drain::leave(&core, accepting).await;
+        drain::leave(&core, accepting, told).await;
         core.stop_capture();
     }));
     if let Some((writer, _)) = writer {
--- a/crates/proxy/tests/sockets/operators.rs
+++ b/crates/proxy/tests/sockets/operators.rs
@@ -57,6 +57,8 @@
 /// What the operators' door says to a call: the status alone, or none.
 fn call(console: SocketAddr, method: &str, path: &str) -> String {
     let Ok(mut stream) = TcpStream::connect(console) else { return "nobody".into() };
+    // Answers are due within one.
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
     stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: c\r\n\r\n").as_bytes()).unwrap();
     message(&mut stream).map_or("closed".into(), |(head, _)| head[9..12].to_string())
 }
@@ -406,8 +408,11 @@
     assert_eq!(answers, ["200"; 8]);
     let seen = told.0.lock().unwrap().clone();
     assert!(seen.iter().all(|line| line.starts_with("birch")), "{seen:?}");
-    // Two in a row wait for the same disk.
-    assert_eq!(process.call("POST", "/control/out-of-service"), "200");
+    // Others wait for the same disk; what was said last holds, kept or not.
+    assert_eq!(process.call("POST", "/control/cache-nodes/amber/online"), "200");
+    assert_eq!(process.call("POST", "/control/cache-nodes/birch/offline"), "200");
+    assert_eq!(ask(&mut client, "back"), "200");
+    assert_eq!(told.0.lock().unwrap().last().unwrap(), "amber: GET /api/back");
     std::fs::read(&pipe).unwrap();
     assert_eq!(process.call("GET", "/control/ready"), "200");
 }
