--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -69,6 +69,7 @@
     pub proxies: u64,
     /// Half of how long the list is left alone after a failed call, and how long it is at the most.
     pub list_rest: (Tenths, Tenths),
+    pub shares_connections: bool, // one connection carries many shots at once
     pub other_kinds: usize, // as which all kinds without a name go: as many as the house names, and 63 at the least
     pub through: bool,      // caches fetch for themselves
     pub sizes: bool,        // what the list says of them is their own, and not their load of the moment
@@ -119,6 +120,7 @@
         };
         HouseRules {
             list_rest: (half, most.max(half)),
+            shares_connections: num("streams", 1.0) > 1.0,
             other_kinds: num("kinds", 0.0).max(63.0) as usize,
             zone: num("zone", 0.0) as usize,
             probes: num("probes", 0.0) > 0.0,
@@ -201,6 +203,7 @@
     pub may_have_run: bool,
     pub bad: bool,
     pub begun: bool, // its answer is on its way to the client
+    pub opens: bool, // no connection to the cache was held
     pub fresh: bool, // the cache will likely ask the origin
 }
 
@@ -253,6 +256,7 @@
     pub hushed: bool,       // the present silence was counted
     pub doubt: u64,         // up by 3 for a failure, down by 1 for an answer
     pub left: bool,
+    pub linked: bool,   // a connection to it is held, as far as told
     pub calls: u32,     // wakes and probes for it that are still to come back
     pub stay: Tenths,   // how long it is left alone next
     pub lately: Tenths, // what its answers took, the last counting most
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -84,6 +84,7 @@
     pub(crate) faded: Tenths,
     pub(crate) watch_fails: u32,
     pub(crate) gave_back: Tenths, // all connections that were idle, last
+    pub(crate) links: u64,        // hundredths of the caches that connections may be held to
     pub(crate) refused: u64,      // ten-thousandths of the shots at caches that found no connection
     pub(crate) barred: BTreeMap<String, Tenths>, // ids that operators took out, listed or not: since when
 }
@@ -104,6 +105,7 @@
             // Thirty where thirty share the origin: where hundreds do, as many together.
             fetch_room: (90_000 / proxies).clamp(100, 3000),
             admitted: [1000; 2],
+            links: 1 << 30,
             ..Router::default()
         }
     }
@@ -122,6 +124,7 @@
                 self.kept.swap(0, 1);
                 self.kept[0].clear();
             }
+            self.links = (self.links + 25).min(1 << 30);
             self.away -= self.away.div_ceil(16);
             self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
@@ -297,6 +300,10 @@
         })
     }
 
+    fn held(&self) -> u64 {
+        self.caches.iter().filter(|c| c.linked).count() as u64
+    }
+
     fn may_shoot(&self, l: &Lookup, cache: Cache) -> bool {
         l.shots.len() < l.rules.most_shots
             && (l.rules.second_copies || !l.out())
@@ -329,11 +336,13 @@
         let its_part = |c: &Known| care < 2 || mixed(l.key) / 100_000_000 % 1000 < size(c) * 1000 / largest;
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
+        let may_open = care == 0 || !self.house.shares_connections || self.held() * 100 < self.links;
         let may_be_asked = |cache: &Cache| {
             let (cache, c) = (*cache, &self.caches[*cache]);
             let trusted = !c.left && (c.doubt < 6 || c.out == 0);
             (trusted || none_trusted)
                 && (care == 0 || !self.silent(cache))
+                && (may_open || c.linked)
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && self.warm_enough(cache, l)
                 && its_part(c)
@@ -536,7 +545,8 @@
         let ns = &l.rules;
         let ran = l.shots.iter().filter(|s| s.may_have_run && ns.repeats == "tagged");
         let by = ran.map(|s| s.sent + ns.window).min().unwrap_or(l.expires);
-        let shot = Shot { cache, sent, company, out: true, may_have_run: true, fresh, ..Shot::default() };
+        let opens = !std::mem::replace(&mut c.linked, true);
+        let shot = Shot { cache, sent, company, out: true, may_have_run: true, opens, fresh, ..Shot::default() };
         l.shots.push(shot);
         let copied = ns.copies_after.and_then(|part| self.times.under(part));
         out.shoot(lkp, cache, l.expires.min(sent + ns.shot_wait), by);
@@ -781,7 +791,7 @@
         s.may_have_run = !not_run.contains(&ending);
         // Who alone may serve it may be asked again across a connection that broke.
         s.bad = ending != Ending::Miss && !(ending == Ending::Broken && l.order.is_some());
-        let (cache, sent, company, fresh, begun) = (s.cache, s.sent, s.company, s.fresh, s.begun);
+        let (cache, sent, company, fresh, begun, opens) = (s.cache, s.sent, s.company, s.fresh, s.begun, s.opens);
         let c = &mut router.caches[cache];
         let silent = c.owes_since <= sent;
         // Of one that is heard of again and again, one late answer tells little.
@@ -796,12 +806,20 @@
         let ending = if lost { Ending::Withdrawn } else { ending };
         let from_cache = Some(cache) != router.origin;
         let refused = ending == Ending::Unreachable;
+        c.linked &= !refused && ending != Ending::Broken;
+        // Guards caches short of places against hundreds that each want one at all of them: no more are held
+        // than were found, and one more is tried every four seconds.
+        let no_place = refused && opens && from_cache && router.house.shares_connections;
+        if no_place {
+            let held = router.caches.iter().filter(|c| c.linked).count() as u64;
+            router.links = router.links.min(100 * held.max(1));
+        }
         if from_cache {
             router.refused = leaning(router.refused, refused);
         }
         // Guards against caches short of places: one that is held idle is another's who needs it now. Two
         // refused of thirty-two are more than one cache that died, which is left at once.
-        if router.refused > 600 && from_cache {
+        if router.refused > 600 && from_cache && !router.house.shares_connections {
             let since =
                 if refused { std::mem::replace(&mut router.gave_back, router.now) } else { Tenths::MAX };
             let idle = |i: usize, c: &Known| c.out == 0 && (i == cache || c.owes_since > since);
@@ -833,7 +851,7 @@
             last != (cache, true)
         };
         router.fetch_ended(asked, fresh, fetched, ending, (vain, of_origin));
-        if !(of_origin || ending == Ending::TimedOut && !silent) {
+        if !(of_origin || no_place || ending == Ending::TimedOut && !silent) {
             router.judge(cache, ending, out);
         }
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
