--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -245,7 +245,9 @@
     pub zone: usize,
     pub cell: u64,
     pub kind: usize,
-    pub size: u64, // as stated
+    pub size: u64, // as stated; the largest stated, where it is lowered by load
+    pub held: u64, // hundredths of a lookup a core that it holds, as the list told last
+    pub part: u64, // thousandths of its keys that it keeps for what it was told to hold
     pub standing: Standing,
     pub born: Tenths,
     pub out: u64,           // own shots in flight
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -84,7 +84,7 @@
     pub(crate) faded: Tenths,
     pub(crate) watch_fails: u32,
     pub(crate) gave_back: Tenths, // all connections that were idle, last
-    pub(crate) links: u64,        // hundredths of the caches that connections may be held to
+    pub(crate) links: [u64; 2], // hundredths of the caches that connections may be held to, own zone and others
     pub(crate) refused: u64,      // ten-thousandths of the shots at caches that found no connection
     pub(crate) barred: BTreeMap<String, Tenths>, // ids that operators took out, listed or not: since when
 }
@@ -105,7 +105,7 @@
             // Thirty where thirty share the origin: where hundreds do, as many together.
             fetch_room: (90_000 / proxies).clamp(100, 3000),
             admitted: [1000; 2],
-            links: 1 << 30,
+            links: [1 << 30; 2],
             ..Router::default()
         }
     }
@@ -124,7 +124,7 @@
                 self.kept.swap(0, 1);
                 self.kept[0].clear();
             }
-            self.links = (self.links + 25).min(1 << 30);
+            self.links = self.links.map(|most| (most + 25).min(1 << 30));
             self.away -= self.away.div_ceil(16);
             self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
@@ -165,11 +165,11 @@
             self.caches.resize_with(known, Known::default);
             let c = &mut self.caches[e.cache];
             if c.id != e.id {
-                *c = Known { id: e.id.to_string(), room: 800, ..Known::default() };
+                *c = Known { id: e.id.to_string(), room: 800, part: 1000, ..Known::default() };
             }
             if e.born > c.born {
                 // A new process under an old id: what was held against the old one is void.
-                (c.doubt, c.left, c.stay) = (0, false, 0);
+                (c.doubt, c.left, c.stay, c.part) = (0, false, 0, 1000);
                 // Some of many proxies begin with a shot, by chance, or all would send theirs together.
                 c.credit = self.house.cold_floor() + self.chance.below(1000);
             }
@@ -177,14 +177,28 @@
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born.max(c.born));
             c.kind = e.kind.min(self.house.other_kinds);
             self.kinds.resize(self.kinds.len().max(c.kind + 1), (0, 1000));
-            c.size = if self.house.sizes { e.size.max(1) } else { 1 };
+            c.size = if self.house.sizes { e.size.max(1) } else { c.size.max(e.size).max(1) };
+            c.held = if self.house.sizes { 0 } else { c.size * 100 / e.size.max(1) - 100 };
             if Some(e.kind) == self.house.origin_kind {
                 self.origin = Some(e.cache);
             }
         }
+        self.spread(entries);
         self.rings();
     }
 
+    /// A cache that the list says holds over three lookups a core, and more than the mean cache, keeps an eighth
+    /// less of its keys, or else a sixtieth more: the same keys at every proxy, as all have the same list.
+    fn spread(&mut self, entries: &[Entry]) {
+        let ready: Vec<u64> =
+            (0..self.caches.len()).filter(|i| self.ready(*i)).map(|i| self.caches[i].held).collect();
+        let mean = ready.iter().sum::<u64>() / ready.len().max(1) as u64;
+        for e in entries {
+            let c = &mut self.caches[e.cache];
+            c.part = if c.held > mean.max(300) { (c.part * 7 / 8).max(30) } else { (c.part + 16).min(1000) };
+        }
+    }
+
     /// Operators take a cache out at that moment, whatever any list says, or put it back. It is restarted in
     /// between: back, it is as cold as one that started then, and what was held against it is void.
     pub fn bar(&mut self, id: &str, out: bool, at: Tenths) {
@@ -300,8 +314,10 @@
         })
     }
 
-    fn held(&self) -> u64 {
-        self.caches.iter().filter(|c| c.linked).count() as u64
+    /// How many caches of the own zone, or of others, connections are held to.
+    fn linked(&self, place: usize) -> u64 {
+        let there = |c: &&Known| c.linked && usize::from(c.zone != self.house.zone) == place;
+        self.caches.iter().filter(there).count() as u64
     }
 
     fn may_shoot(&self, l: &Lookup, cache: Cache) -> bool {
@@ -333,16 +349,21 @@
         let most = zone.iter().map(|c| self.caches[*c].size).max().unwrap_or(1);
         let size = |c: &Known| (c.size + most) * self.kinds[c.kind].1;
         let largest = zone.iter().map(|c| size(&self.caches[*c])).max().unwrap_or(1).max(1);
-        let its_part = |c: &Known| care < 2 || mixed(l.key) / 100_000_000 % 1000 < size(c) * 1000 / largest;
+        let its_part =
+            |c: &Known| care < 2 || mixed(l.key) / 100_000_000 % 1000 < size(c) * c.part / largest;
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
-        let may_open = care == 0 || !self.house.shares_connections || self.held() * 100 < self.links;
+        let held = [self.linked(0), self.linked(1)];
+        let may_open = |c: &Known| {
+            let place = usize::from(c.zone != self.house.zone);
+            !self.house.shares_connections || held[place] * 100 < self.links[place]
+        };
         let may_be_asked = |cache: &Cache| {
             let (cache, c) = (*cache, &self.caches[*cache]);
             let trusted = !c.left && (c.doubt < 6 || c.out == 0);
             (trusted || none_trusted)
                 && (care == 0 || !self.silent(cache))
-                && (may_open || c.linked)
+                && (c.linked || may_open(c))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && self.warm_enough(cache, l)
                 && its_part(c)
@@ -806,13 +827,13 @@
         let ending = if lost { Ending::Withdrawn } else { ending };
         let from_cache = Some(cache) != router.origin;
         let refused = ending == Ending::Unreachable;
+        let mut refused_at = None;
         c.linked &= !refused && ending != Ending::Broken;
         // Guards caches short of places against hundreds that each want one at all of them: no more are held
         // than were found, and one more is tried every four seconds.
         let no_place = refused && opens && from_cache && router.house.shares_connections;
         if no_place {
-            let held = router.caches.iter().filter(|c| c.linked).count() as u64;
-            router.links = router.links.min(100 * held.max(1));
+            refused_at = Some(usize::from(c.zone != router.house.zone));
         }
         if from_cache {
             router.refused = leaning(router.refused, refused);
@@ -826,8 +847,11 @@
             let caches = router.caches.iter().enumerate().filter(|(i, c)| idle(*i, c));
             caches.for_each(|(i, _)| out.give_back(i));
         }
-        let c = &mut router.caches[cache];
         let target = l.rules.target;
+        if let Some(place) = refused_at {
+            router.links[place] = router.links[place].min(100 * router.linked(place).max(1));
+        }
+        let c = &mut router.caches[cache];
         if matches!(ending, Ending::Resolved | Ending::TimedOut) {
             c.lately = (c.lately * 7 + took.min(target)) / 8;
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -152,7 +152,7 @@
     Line { first, behind, rests_until }
     Shot { cache, sent, company, out, may_have_run, bad, begun, opens, fresh }
     Known {
-        id, zone, cell, kind, size, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, linked, calls, stay,
+        id, zone, cell, kind, size, held, part, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, linked, calls, stay,
         lately, refusals, timely, room, credit,
     }
 }
@@ -230,11 +230,11 @@
         let mut to = State::default();
         let class = |l: &Lookup| self.house.namespaces.iter().position(|rules| l.rules.is(rules));
         [self.now, self.house.proxies, self.pooled, self.away, self.taken, self.taken_lately].put(&mut to);
-        [self.held_late, self.fetch_room, self.faded, self.refused, self.gave_back, self.links].put(&mut to);
+        [self.held_late, self.fetch_room, self.faded, self.refused, self.gave_back].put(&mut to);
         (self.watch_fails, self.origin).put(&mut to);
         self.chance.put(&mut to);
         self.caches.put(&mut to);
-        [self.admitted, self.fetches_out, self.fetch_share].put(&mut to);
+        [self.admitted, self.fetches_out, self.fetch_share, self.links].put(&mut to);
         self.erred.put(&mut to);
         self.times.put(&mut to);
         self.kinds.put(&mut to);
@@ -257,11 +257,11 @@
         let from = &mut Taking { words: state.words.iter(), texts: state.texts.iter() };
         let mut r = Router { house: HouseRules::read(said), ..Router::default() };
         [r.now, r.house.proxies, r.pooled, r.away, r.taken, r.taken_lately] = Part::get(from)?;
-        [r.held_late, r.fetch_room, r.faded, r.refused, r.gave_back, r.links] = Part::get(from)?;
+        [r.held_late, r.fetch_room, r.faded, r.refused, r.gave_back] = Part::get(from)?;
         (r.watch_fails, r.origin) = Part::get(from)?;
         r.chance = Part::get(from)?;
         r.caches = Part::get(from)?;
-        [r.admitted, r.fetches_out, r.fetch_share] = Part::get(from)?;
+        [r.admitted, r.fetches_out, r.fetch_share, r.links] = Part::get(from)?;
         r.erred = Part::get(from)?;
         r.times = Part::get(from)?;
         r.kinds = Part::get(from)?;
