--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -356,7 +356,7 @@
         let held = [self.linked(0), self.linked(1)];
         let may_open = |c: &Known| {
             let place = usize::from(c.zone != self.house.zone);
-            !self.house.shares_connections || held[place] * 100 < self.links[place]
+            !self.house.shares_connections || held[place] * 100 + 100 <= self.links[place]
         };
         let may_be_asked = |cache: &Cache| {
             let (cache, c) = (*cache, &self.caches[*cache]);
