--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -246,7 +246,7 @@
     pub cell: u64,
     pub kind: usize,
     pub size: u64, // as stated; the largest stated, where it is lowered by load
-    pub held: u64, // hundredths of a lookup a core that it holds, as the list told last
+    pub held: (u64, u64), // hundredths of a lookup a core that it holds, as the list told before and last
     pub part: u64, // thousandths of its keys that it keeps for what it was told to hold
     pub standing: Standing,
     pub born: Tenths,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -178,7 +178,7 @@
             c.kind = e.kind.min(self.house.other_kinds);
             self.kinds.resize(self.kinds.len().max(c.kind + 1), (0, 1000));
             c.size = if self.house.sizes { e.size.max(1) } else { c.size.max(e.size).max(1) };
-            c.held = if self.house.sizes { 0 } else { c.size * 100 / e.size.max(1) - 100 };
+            c.held = (c.held.1, if self.house.sizes { 0 } else { c.size * 100 / e.size.max(1) - 100 });
             if Some(e.kind) == self.house.origin_kind {
                 self.origin = Some(e.cache);
             }
@@ -191,11 +191,16 @@
     /// less of its keys, or else a sixtieth more: the same keys at every proxy, as all have the same list.
     fn spread(&mut self, entries: &[Entry]) {
         let ready: Vec<u64> =
-            (0..self.caches.len()).filter(|i| self.ready(*i)).map(|i| self.caches[i].held).collect();
+            (0..self.caches.len()).filter(|i| self.ready(*i)).map(|i| self.caches[i].held.1).collect();
         let mean = ready.iter().sum::<u64>() / ready.len().max(1) as u64;
         for e in entries {
             let c = &mut self.caches[e.cache];
-            c.part = if c.held > mean.max(300) { (c.part * 7 / 8).max(30) } else { (c.part + 16).min(1000) };
+            let (before, held) = c.held;
+            c.part = match held > mean.max(300) {
+                true if held * 8 > before * 7 => (c.part * 7 / 8).max(30),
+                true => c.part, // it is getting over it
+                false => (c.part + 16).min(1000),
+            };
         }
     }
 
@@ -365,6 +370,7 @@
                 && (care == 0 || !self.silent(cache))
                 && (c.linked || may_open(c))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
+                && c.held.1 <= 300 + l.luck * 6
                 && self.warm_enough(cache, l)
                 && its_part(c)
                 && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
