--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -370,7 +370,7 @@
                 && (care == 0 || !self.silent(cache))
                 && (c.linked || may_open(c))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
-                && c.held.1 <= 300 + l.luck * 6
+                && (care == 2 || c.held.1 <= 300 + l.luck * 6)
                 && self.warm_enough(cache, l)
                 && its_part(c)
                 && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
