--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -131,6 +131,7 @@
                 if c.credit < 1000 {
                     c.credit += self.house.cold_floor(); // or a fleet all cold would stay so
                 }
+                c.part = (c.part + if c.reports { 5 } else { 0 }).min(1000);
                 c.lately -= c.lately / 8; // so that a cache nobody asks is asked again
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
             }
@@ -204,6 +205,17 @@
         }
     }
 
+    /// With its answer a cache says how busy its cores are, in thousandths.
+    pub fn reported(&mut self, cache: Cache, busy: u64) {
+        let ready: Vec<u64> =
+            (0..self.caches.len()).filter(|i| self.ready(*i)).map(|i| self.caches[i].held.1).collect();
+        let mean = ready.iter().sum::<u64>() / ready.len().max(1) as u64;
+        let Some(c) = self.caches.get_mut(cache) else { return };
+        let busy = busy.min(950);
+        (c.reports, c.held) = (true, (c.held.1, busy * 100 / (1000 - busy)));
+        c.part = if c.held.1 > mean.max(300) { (c.part * 3 / 4).max(30) } else { (c.part + 60).min(1000) };
+    }
+
     /// Operators take a cache out at that moment, whatever any list says, or put it back. It is restarted in
     /// between: back, it is as cold as one that started then, and what was held against it is void.
     pub fn bar(&mut self, id: &str, out: bool, at: Tenths) {
@@ -864,6 +876,9 @@
         if ending == Ending::Resolved && from_cache {
             router.times.add(took);
         }
+        if c.reports && took >= target && matches!(ending, Ending::Resolved | Ending::TimedOut) {
+            (c.part, c.held.1) = ((c.part / 2).max(30), c.held.1.max(600));
+        }
         router.house.resize(c, ending, took, company, target, from_cache);
         if from_cache && matches!(ending, Ending::Resolved | Ending::TimedOut) {
             router.weigh(cache, took > target / 2);
