--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -84,6 +84,7 @@
     pub(crate) faded: Tenths,
     pub(crate) watch_fails: u32,
     pub(crate) gave_back: Tenths, // all connections that were idle, last
+    pub(crate) salt: u64, // own, so that proxies pass a loaded cache for different keys
     pub(crate) links: [u64; 2], // hundredths of the caches that connections may be held to, own zone and others
     pub(crate) refused: u64,      // ten-thousandths of the shots at caches that found no connection
     pub(crate) barred: BTreeMap<String, Tenths>, // ids that operators took out, listed or not: since when
@@ -100,6 +101,7 @@
         }
         Router {
             house,
+            salt: mixed(chance.0),
             chance,
             fetch_share: [0, 10_000],
             // Thirty where thirty share the origin: where hundreds do, as many together.
@@ -366,8 +368,10 @@
         let most = zone.iter().map(|c| self.caches[*c].size).max().unwrap_or(1);
         let size = |c: &Known| (c.size + most) * self.kinds[c.kind].1;
         let largest = zone.iter().map(|c| size(&self.caches[*c])).max().unwrap_or(1).max(1);
-        let its_part =
-            |c: &Known| care < 2 || mixed(l.key) / 100_000_000 % 1000 < size(c) * c.part / largest;
+        let its_part = |c: &Known| {
+            care < 2
+                || (mixed(l.key) / 100_000_000 % 1000 < size(c) * 1000 / largest && mixed(l.key ^ self.salt) % 1000 < c.part)
+        };
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
         let held = [self.linked(0), self.linked(1)];
