--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -128,7 +128,7 @@
             }
             self.links = self.links.map(|most| (most + 25).min(1 << 30));
             self.away -= self.away.div_ceil(16);
-            self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
+            self.pooled -= self.pooled.div_ceil(100); // let go within two minutes
             for c in &mut self.caches {
                 if c.credit < 1000 {
                     c.credit += self.house.cold_floor(); // or a fleet all cold would stay so
@@ -215,7 +215,7 @@
         let Some(c) = self.caches.get_mut(cache) else { return };
         let busy = busy.min(950);
         (c.reports, c.held) = (true, (c.held.1, busy * 100 / (1000 - busy)));
-        c.part = if c.held.1 > mean.max(300) { (c.part * 3 / 4).max(30) } else { (c.part + 60).min(1000) };
+        c.part = if c.held.1 > mean.max(900) { (c.part * 3 / 4).max(30) } else { (c.part + 60).min(1000) };
     }
 
     /// Operators take a cache out at that moment, whatever any list says, or put it back. It is restarted in
@@ -386,7 +386,7 @@
                 && (care == 0 || !self.silent(cache))
                 && (c.linked || may_open(c))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
-                && (care == 2 || c.held.1 <= 300 + l.luck * 6)
+                && (care == 2 || (c.reports || c.held.1 <= 300 + l.luck * 6))
                 && self.warm_enough(cache, l)
                 && its_part(c)
                 && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
