--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -209,13 +209,9 @@
 
     /// With its answer a cache says how busy its cores are, in thousandths.
     pub fn reported(&mut self, cache: Cache, busy: u64) {
-        let ready: Vec<u64> =
-            (0..self.caches.len()).filter(|i| self.ready(*i)).map(|i| self.caches[i].held.1).collect();
-        let mean = ready.iter().sum::<u64>() / ready.len().max(1) as u64;
         let Some(c) = self.caches.get_mut(cache) else { return };
         let busy = busy.min(950);
         (c.reports, c.held) = (true, (c.held.1, busy * 100 / (1000 - busy)));
-        c.part = if c.held.1 > mean.max(900) { (c.part * 3 / 4).max(30) } else { (c.part + 60).min(1000) };
     }
 
     /// Operators take a cache out at that moment, whatever any list says, or put it back. It is restarted in
@@ -880,8 +876,13 @@
         if ending == Ending::Resolved && from_cache {
             router.times.add(took);
         }
-        if c.reports && took >= target && matches!(ending, Ending::Resolved | Ending::TimedOut) {
-            (c.part, c.held.1) = ((c.part / 2).max(30), c.held.1.max(600));
+        if c.reports && matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
+            c.part = match took > target / 2 {
+                true if took >= target => (c.part / 2).max(30),
+                true if c.held.1 > 900 => (c.part * 3 / 4).max(30),
+                true => c.part,
+                false => (c.part + 125).min(1000),
+            };
         }
         router.house.resize(c, ending, took, company, target, from_cache);
         if from_cache && matches!(ending, Ending::Resolved | Ending::TimedOut) {
