--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -179,10 +179,6 @@
                     (reason, _) => reason,
                 };
                 let finished = flag(event, "finished")?;
-                let busy = event.get("stats").and_then(|s| s.get("busy")).and_then(Value::as_f64);
-                if let (Some(cache), Some(busy)) = (node.and_then(|n| self.caches.index.get(n)), busy) {
-                    router.reported(*cache, (busy * 1000.0) as u64);
-                }
                 if let Some((_, lkp)) = lkp {
                     lkp.shot_ended(router, shot as usize, how, took, finished, pen);
                 }
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -247,7 +247,6 @@
     pub kind: usize,
     pub size: u64, // as stated; the largest stated, where it is lowered by load
     pub held: (u64, u64), // hundredths of a lookup a core that it holds, as the list told before and last
-    pub reports: bool,    // it said how busy it is, with an answer
     pub part: u64, // thousandths of its keys that it keeps for what it was told to hold
     pub standing: Standing,
     pub born: Tenths,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -133,7 +133,7 @@
                 if c.credit < 1000 {
                     c.credit += self.house.cold_floor(); // or a fleet all cold would stay so
                 }
-                c.part = (c.part + if c.reports { 5 } else { 0 }).min(1000);
+                c.part = (c.part + 5).min(1000);
                 c.lately -= c.lately / 8; // so that a cache nobody asks is asked again
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
             }
@@ -207,13 +207,6 @@
         }
     }
 
-    /// With its answer a cache says how busy its cores are, in thousandths.
-    pub fn reported(&mut self, cache: Cache, busy: u64) {
-        let Some(c) = self.caches.get_mut(cache) else { return };
-        let busy = busy.min(950);
-        (c.reports, c.held) = (true, (c.held.1, busy * 100 / (1000 - busy)));
-    }
-
     /// Operators take a cache out at that moment, whatever any list says, or put it back. It is restarted in
     /// between: back, it is as cold as one that started then, and what was held against it is void.
     pub fn bar(&mut self, id: &str, out: bool, at: Tenths) {
@@ -382,7 +375,7 @@
                 && (care == 0 || !self.silent(cache))
                 && (c.linked || may_open(c))
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
-                && (care == 2 || (c.reports || c.held.1 <= 300 + l.luck * 6))
+                && (care == 2 || c.held.1 <= 300 + l.luck * 6)
                 && self.warm_enough(cache, l)
                 && its_part(c)
                 && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
@@ -876,10 +869,9 @@
         if ending == Ending::Resolved && from_cache {
             router.times.add(took);
         }
-        if c.reports && matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
+        if from_cache && router.house.sizes && matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
             c.part = match took > target / 2 {
                 true if took >= target => (c.part / 2).max(30),
-                true if c.held.1 > 900 => (c.part * 3 / 4).max(30),
                 true => c.part,
                 false => (c.part + 125).min(1000),
             };
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -152,7 +152,7 @@
     Line { first, behind, rests_until }
     Shot { cache, sent, company, out, may_have_run, bad, begun, opens, fresh }
     Known {
-        id, zone, cell, kind, size, held, reports, part, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, linked, calls, stay,
+        id, zone, cell, kind, size, held, part, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, linked, calls, stay,
         lately, refusals, timely, room, credit,
     }
 }
