--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -355,7 +355,7 @@
         // Guards those that do less against as many keys as others: one of many proxies sees no lateness.
         // Half, as keys are work and room to be kept in, and that room is nowhere stated.
         let most = zone.iter().map(|c| self.caches[*c].size).max().unwrap_or(1);
-        let size = |c: &Known| (c.size + most) * self.kinds[c.kind].1;
+        let size = |c: &Known| c.size + most;
         let largest = zone.iter().map(|c| size(&self.caches[*c])).max().unwrap_or(1).max(1);
         let its_part = |c: &Known| {
             care < 2
@@ -647,22 +647,6 @@
 
     // ---- health ----
 
-    /// Learns which kinds are late more often than others, and keep fewer keys: one of many proxies hears too
-    /// little of each cache. Over twice the best kind's share, and one in twenty, is no chance, and where all
-    /// are late nothing moves. An eighth down and four thousandths up hold a kind where one in twenty is
-    /// late; an eighth of the keys stay, to hear how it does.
-    fn weigh(&mut self, cache: Cache, late: bool) {
-        let kinds = (0..self.caches.len()).filter(|c| self.ready(*c)).map(|c| self.caches[c].kind);
-        let best = kinds.map(|kind| self.kinds[kind].0).min().unwrap_or(0);
-        let Some((share, part)) = self.kinds.get_mut(self.caches[cache].kind) else { return };
-        *share = leaning(*share, late);
-        *part = match late {
-            true if *share > best * 2 + 500 => (*part * 7 / 8).max(125),
-            true => *part,
-            false => (*part + 4).min(1000),
-        };
-    }
-
     /// Doubt grows where over one in four fails, and is enough after three in a row or if nothing listens: a
     /// fast failer holds little and would keep its keys. One broken connection is no reason to leave a cache.
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
@@ -869,7 +853,7 @@
         if ending == Ending::Resolved && from_cache {
             router.times.add(took);
         }
-        if from_cache && router.house.sizes && matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
+        if from_cache && matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
             c.part = match took > target / 2 {
                 true if took >= target => (c.part / 2).max(30),
                 true => c.part,
@@ -877,9 +861,6 @@
             };
         }
         router.house.resize(c, ending, took, company, target, from_cache);
-        if from_cache && matches!(ending, Ending::Resolved | Ending::TimedOut) {
-            router.weigh(cache, took > target / 2);
-        }
         let Some(l) = router.lookups.get_mut(&self.0) else { return };
         let key = (l.leads && !from_cache).then_some(l.key);
         l.leads &= key.is_none();
