--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -31,22 +31,14 @@
         let late = took > if cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
-            // What was out is too much, where under seven came in time since: one of many proxies has a shot
-            // at a cache now and then. One in eight may be late by its own work.
-            Ending::Resolved | Ending::TimedOut if late => {
-                c.room = (c.room * 7 / 8).min(if c.timely < 7 { company * 100 } else { c.room });
-            }
+            // What was out is too much: one of many proxies has a shot at a cache now and then.
+            Ending::Resolved | Ending::TimedOut if late => c.room = (c.room * 7 / 8).min(company * 100),
             // One at a time is no load: guards caches that turn away a part of whatever comes. Where that is
             // half, one run in sixteen is of four, and a cache that is truly full answers nothing in between.
             Ending::Full if cache && c.refusals < 4 => c.room -= (c.room / 4).min(c.room.saturating_sub(100)),
             Ending::Full => c.room -= c.room / 4,
             _ => {}
         }
-        c.timely = match ending {
-            Ending::Resolved | Ending::TimedOut if late => 0,
-            Ending::Resolved => c.timely + 1,
-            _ => c.timely,
-        };
         c.refusals = match ending {
             Ending::Full => c.refusals + 1,
             Ending::Resolved | Ending::Miss => 0,
@@ -810,8 +802,6 @@
         let (cache, sent, company, fresh, begun, opens) = (s.cache, s.sent, s.company, s.fresh, s.begun, s.opens);
         let c = &mut router.caches[cache];
         let silent = c.owes_since <= sent;
-        // Of one that is heard of again and again, one late answer tells little.
-        c.timely = c.timely.max(if router.now > c.answered + SECOND / 2 { 0 } else { 7 });
         (c.out, c.flows) = (c.out - 1, c.flows - u64::from(begun));
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full | Ending::Wrong) {
             (c.owes_since, c.answered, c.hushed) = (router.now, router.now, false);
