--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -20,7 +20,7 @@
 }
 use Form::*;
 
-const NAMED: [(&str, &str, Form); 25] = [
+const NAMED: [(&str, &str, Form); 24] = [
     ("position", "position", Number),
     ("balancers", "proxies", Number),
     ("excessUtility", "excess utility", Number),
@@ -34,7 +34,6 @@
     ("ceilings.retryAfter", "return advice", Flag),
     ("ceilings.maxRetryAfterNs", "longest stay away", Time),
     ("ceilings.connIdleNs", "idle time", Time),
-    ("ceilings.streamsPerConn", "streams", Number),
     ("ceilings.connectTimeoutNs", "connect time", Limit),
     ("rules.drainGraceNs", "drain grace", Time),
     ("rules.askEveryNs", "ask time", Time),
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -69,7 +69,6 @@
     pub proxies: u64,
     /// Half of how long the list is left alone after a failed call, and how long it is at the most.
     pub list_rest: (Tenths, Tenths),
-    pub shares_connections: bool, // one connection carries many shots at once
     pub other_kinds: usize, // as which all kinds without a name go: as many as the house names, and 63 at the least
     pub through: bool,      // caches fetch for themselves
     pub sizes: bool,        // what the list says of them is their own, and not their load of the moment
@@ -120,7 +119,6 @@
         };
         HouseRules {
             list_rest: (half, most.max(half)),
-            shares_connections: num("streams", 1.0) > 1.0,
             other_kinds: num("kinds", 0.0).max(63.0) as usize,
             zone: num("zone", 0.0) as usize,
             probes: num("probes", 0.0) > 0.0,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -75,10 +75,8 @@
     pub(crate) kept: [HashSet<u64>; 2], // keys resolved lately, and before that
     pub(crate) faded: Tenths,
     pub(crate) watch_fails: u32,
-    pub(crate) gave_back: Tenths, // all connections that were idle, last
     pub(crate) salt: u64, // own, so that proxies pass a loaded cache for different keys
     pub(crate) links: [u64; 2], // hundredths of the caches that connections may be held to, own zone and others
-    pub(crate) refused: u64,      // ten-thousandths of the shots at caches that found no connection
     pub(crate) barred: BTreeMap<String, Tenths>, // ids that operators took out, listed or not: since when
 }
 
@@ -358,7 +356,7 @@
         let held = [self.linked(0), self.linked(1)];
         let may_open = |c: &Known| {
             let place = usize::from(c.zone != self.house.zone);
-            !self.house.shares_connections || held[place] * 100 + 100 <= self.links[place]
+            held[place] * 100 + 100 <= self.links[place]
         };
         let may_be_asked = |cache: &Cache| {
             let (cache, c) = (*cache, &self.caches[*cache]);
@@ -816,22 +814,10 @@
         c.linked &= !refused && ending != Ending::Broken;
         // Guards caches short of places against hundreds that each want one at all of them: no more are held
         // than were found, and one more is tried every four seconds.
-        let no_place = refused && opens && from_cache && router.house.shares_connections;
+        let no_place = refused && opens && from_cache;
         if no_place {
             refused_at = Some(usize::from(c.zone != router.house.zone));
         }
-        if from_cache {
-            router.refused = leaning(router.refused, refused);
-        }
-        // Guards against caches short of places: one that is held idle is another's who needs it now. Two
-        // refused of thirty-two are more than one cache that died, which is left at once.
-        if router.refused > 600 && from_cache && !router.house.shares_connections {
-            let since =
-                if refused { std::mem::replace(&mut router.gave_back, router.now) } else { Tenths::MAX };
-            let idle = |i: usize, c: &Known| c.out == 0 && (i == cache || c.owes_since > since);
-            let caches = router.caches.iter().enumerate().filter(|(i, c)| idle(*i, c));
-            caches.for_each(|(i, _)| out.give_back(i));
-        }
         let target = l.rules.target;
         if let Some(place) = refused_at {
             router.links[place] = router.links[place].min(100 * router.linked(place).max(1));
