--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -117,7 +117,6 @@
                 self.kept[0].clear();
             }
             self.links = self.links.map(|most| (most + 25).min(1 << 30));
-            self.away -= self.away.div_ceil(16);
             self.pooled -= self.pooled.div_ceil(100); // let go within two minutes
             for c in &mut self.caches {
                 if c.credit < 1000 {
@@ -465,7 +464,6 @@
         }
         let first = match mixed(l.key) / 1000 {
             part if part % 100 < self.pooled => [(2, 2), (2, 1)],
-            part if part / 100 % 1000 < self.away => [(1, 2), (0, 2)],
             _ => [(0, 2), (1, 2)],
         };
         let rounds = first.into_iter().chain([(0, 1), (1, 1), (0, 0), (1, 0)]);
@@ -859,16 +857,6 @@
             let part = &mut router.admitted[usize::from(!from_cache)];
             *part = if late { *part * 7 / 8 } else { (*part + 60).min(1000) }.max(100);
         }
-        // Guards against a zone that is asked for more than its caches can do while others have time: where
-        // over one in nine answers is late, keys are asked of other zones, unless those are late as well.
-        let own_zone = router.caches[cache].zone == router.house.zone;
-        if from_cache && matches!(ending, Ending::Resolved | Ending::TimedOut) {
-            router.away = match took >= target {
-                true if own_zone => (router.away + 100).min(1000),
-                true => router.away.saturating_sub(200),
-                false => router.away.saturating_sub(if own_zone { 12 } else { 0 }),
-            };
-        }
         if from_cache && matches!(ending, Ending::Resolved | Ending::Miss) {
             router.give_credit(cache);
         }
