--- a/crates/policy/src/asked.rs
+++ b/crates/policy/src/asked.rs
@@ -1,9 +1,19 @@
 //! Ways into a router that decide nothing: what callers ask of it, and calls that only pass on.
 
-use crate::plain::{Cache, Carrier, Lkp, Lookup, Standing, Tenths, point};
+use crate::plain::{Cache, Carrier, HouseRules, Lkp, Lookup, Standing, Tenths, point};
 use crate::policy::Router;
+use std::collections::BTreeMap;
 
 impl Router {
+    /// Other limits hold from now on, and budgets go on counting. What is open keeps the rules that it has,
+    /// until `renewed` tells it others. Zones, kinds and the origin are the same.
+    pub fn limits(&mut self, said: &BTreeMap<String, String>) {
+        let house = HouseRules { proxies: self.house.proxies, ..HouseRules::read(said) };
+        let before = std::mem::replace(&mut self.house, house);
+        let pairs = self.house.namespaces.iter().zip(&before.namespaces);
+        pairs.for_each(|(ns, before)| ns.purse.count_from(&before.purse));
+    }
+
     /// Classes of lookups; `take` and `renewed` name one by its number.
     pub fn classes(&self) -> usize {
         self.house.namespaces.len()
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -69,7 +69,6 @@
     pub proxies: u64,
     /// Half of how long the list is left alone after a failed call, and how long it is at the most.
     pub list_rest: (Tenths, Tenths),
-    pub other_kinds: usize, // as which all kinds without a name go: as many as the house names, and 63 at the least
     pub through: bool,      // caches fetch for themselves
     pub sizes: bool,        // what the list says of them is their own, and not their load of the moment
     pub origin_kind: Option<usize>,
@@ -119,7 +118,6 @@
         };
         HouseRules {
             list_rest: (half, most.max(half)),
-            other_kinds: num("kinds", 0.0).max(63.0) as usize,
             zone: num("zone", 0.0) as usize,
             probes: num("probes", 0.0) > 0.0,
             withdrawals: num("withdrawals", 0.0) > 0.0,
@@ -242,7 +240,6 @@
     pub id: String,
     pub zone: usize,
     pub cell: u64,
-    pub kind: usize,
     pub size: u64, // as stated; the largest stated, where it is lowered by load
     pub held: (u64, u64), // hundredths of a lookup a core that it holds, as the list told before and last
     pub part: u64, // thousandths of its keys that it keeps for what it was told to hold
@@ -260,8 +257,6 @@
     pub calls: u32,     // wakes and probes for it that are still to come back
     pub stay: Tenths,   // how long it is left alone next
     pub lately: Tenths, // what its answers took, the last counting most
-    pub refusals: u64,  // as full, since an answer
-    pub timely: u64,    // answers in time since the last late one
     pub room: u64,      // hundredths of a shot that it takes at once without being late
     pub credit: u64,    // while it is cold: thousandths of a shot that it may still be sent
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -33,17 +33,9 @@
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
             // What was out is too much: one of many proxies has a shot at a cache now and then.
             Ending::Resolved | Ending::TimedOut if late => c.room = (c.room * 7 / 8).min(company * 100),
-            // One at a time is no load: guards caches that turn away a part of whatever comes. Where that is
-            // half, one run in sixteen is of four, and a cache that is truly full answers nothing in between.
-            Ending::Full if cache && c.refusals < 4 => c.room -= (c.room / 4).min(c.room.saturating_sub(100)),
             Ending::Full => c.room -= c.room / 4,
             _ => {}
         }
-        c.refusals = match ending {
-            Ending::Full => c.refusals + 1,
-            Ending::Resolved | Ending::Miss => 0,
-            _ => c.refusals,
-        };
         c.room = c.room.clamp(10, 10_000);
     }
 }
@@ -56,7 +48,6 @@
     pub(crate) caches: Vec<Known>,
     pub(crate) rings: [Vec<(u64, Cache)>; 3], // of the own zone, of the others, of all
     pub(crate) pooled: u64, // hundredths of the keys that are looked up on the ring of all zones
-    pub(crate) away: u64,   // thousandths of the keys that are asked of other zones first
     pub(crate) admitted: [u64; 2], // thousandths of the lookups that go to caches, and to the origin
     pub(crate) origin: Option<Cache>,
     pub(crate) lookups: HashMap<u64, Lookup>,
@@ -64,10 +55,6 @@
     pub(crate) taken_lately: u64, // halved each second
     pub(crate) fetches: HashMap<u64, Vec<Lkp>>,
     pub(crate) times: Tally,
-    // By kind: ten-thousandths of its answers past half their target, thousandths of its keys that are kept.
-    pub(crate) kinds: Vec<(u64, u64)>,
-    pub(crate) held_late: u64, // ten-thousandths of the answers from what a cache held
-    pub(crate) erred: (Cache, bool), // whose the last error on a fetch was; whether one elsewhere succeeded
     pub(crate) fetches_out: [u64; 2], // shots for keys resolved here lately, and for others
     pub(crate) lines: HashMap<u64, Line>, // by key, where lookups run in order
     pub(crate) fetch_share: [u64; 2], // ten-thousandths of each that caches said they fetched
@@ -129,15 +116,6 @@
         }
     }
 
-    /// Other limits hold from now on, and budgets go on counting. What is open keeps the rules that it has,
-    /// until `renewed` tells it others. Zones, kinds and the origin are the same.
-    pub fn limits(&mut self, said: &BTreeMap<String, String>) {
-        let house = HouseRules { proxies: self.house.proxies, ..HouseRules::read(said) };
-        let before = std::mem::replace(&mut self.house, house);
-        let pairs = self.house.namespaces.iter().zip(&before.namespaces);
-        pairs.for_each(|(ns, before)| ns.purse.count_from(&before.purse));
-    }
-
     // ---- the list of caches ----
 
     pub fn list_whole(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
@@ -167,8 +145,6 @@
             }
             // Never back: one that operators put back has started since, though no list knows it yet.
             (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born.max(c.born));
-            c.kind = e.kind.min(self.house.other_kinds);
-            self.kinds.resize(self.kinds.len().max(c.kind + 1), (0, 1000));
             c.size = if self.house.sizes { e.size.max(1) } else { c.size.max(e.size).max(1) };
             c.held = (c.held.1, if self.house.sizes { 0 } else { c.size * 100 / e.size.max(1) - 100 });
             if Some(e.kind) == self.house.origin_kind {
@@ -480,15 +456,12 @@
         fresh: bool,
         fetched: Option<bool>,
         ending: Ending,
-        (vain, of_origin): (bool, bool),
+        vain: bool,
     ) {
         self.fetches_out[usize::from(fresh)] -= 1;
         if !self.house.through {
             return;
         }
-        if fetched == Some(false) {
-            self.held_late = leaning(self.held_late, vain);
-        }
         // One of many proxies has resolved little of what a cache holds: the cache's word tells the share.
         if let Some(fetched) = fetched {
             let share = &mut self.fetch_share[usize::from(fresh)];
@@ -497,15 +470,10 @@
         if fetched.unwrap_or(fresh) || ending == Ending::Error {
             self.fetch_room = match ending {
                 Ending::Resolved if !vain => self.fetch_room + 8,
-                Ending::Error if of_origin || !fresh => self.fetch_room * 7 / 8,
+                Ending::Error => self.fetch_room * 7 / 8,
                 Ending::Resolved | Ending::TimedOut if vain => self.fetch_room * 15 / 16,
                 _ => self.fetch_room,
             };
-            // Work that is long or queues is late without the origin: as answers of what was held are, and
-            // fetches twice as often for the time they take.
-            if fetched.is_some() {
-                self.fetch_room += self.fetch_room * self.held_late / 80_000;
-            }
             // Down to one lookup in twenty while none is out: one at a time from each of many is a flood.
             self.fetch_room = self.fetch_room.clamp(5, 10_000);
         }
@@ -840,14 +808,9 @@
         l.leads &= key.is_none();
         let (asked, over, in_ring) = (l.key, l.over, l.order.is_none());
         let vain = took >= target && !(ending == Ending::TimedOut && silent);
-        // An error on a fetch may be the origin's, and says nothing of the cache, unless the last was its own
-        // too and others fetched meanwhile: the origin's come by way of all of them.
-        router.erred.1 |= fresh && ending == Ending::Resolved && router.erred.0 != cache;
-        let of_origin = fresh && ending == Ending::Error && {
-            let last = std::mem::replace(&mut router.erred, (cache, false));
-            last != (cache, true)
-        };
-        router.fetch_ended(asked, fresh, fetched, ending, (vain, of_origin));
+        // An error on a fetch may be the origin's, and says nothing of the cache.
+        let of_origin = fresh && ending == Ending::Error;
+        router.fetch_ended(asked, fresh, fetched, ending, vain);
         if !(of_origin || no_place || ending == Ending::TimedOut && !silent) {
             router.judge(cache, ending, out);
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -152,8 +152,8 @@
     Line { first, behind, rests_until }
     Shot { cache, sent, company, out, may_have_run, bad, begun, opens, fresh }
     Known {
-        id, zone, cell, kind, size, held, part, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, linked, calls, stay,
-        lately, refusals, timely, room, credit,
+        id, zone, cell, size, held, part, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, linked, calls, stay,
+        lately, room, credit,
     }
 }
 
@@ -229,15 +229,13 @@
     pub fn state(&self) -> Option<State> {
         let mut to = State::default();
         let class = |l: &Lookup| self.house.namespaces.iter().position(|rules| l.rules.is(rules));
-        [self.now, self.house.proxies, self.pooled, self.away, self.taken, self.taken_lately].put(&mut to);
-        [self.salt, self.held_late, self.fetch_room, self.faded].put(&mut to);
+        [self.now, self.house.proxies, self.pooled, self.taken, self.taken_lately].put(&mut to);
+        [self.salt, self.fetch_room, self.faded].put(&mut to);
         (self.watch_fails, self.origin).put(&mut to);
         self.chance.put(&mut to);
         self.caches.put(&mut to);
         [self.admitted, self.fetches_out, self.fetch_share, self.links].put(&mut to);
-        self.erred.put(&mut to);
         self.times.put(&mut to);
-        self.kinds.put(&mut to);
         self.fetches.put(&mut to);
         self.lines.put(&mut to);
         self.barred.clone().into_iter().collect::<Vec<(String, u64)>>().put(&mut to);
@@ -256,15 +254,13 @@
     pub fn of_state(said: &BTreeMap<String, String>, state: &State) -> Option<Router> {
         let from = &mut Taking { words: state.words.iter(), texts: state.texts.iter() };
         let mut r = Router { house: HouseRules::read(said), ..Router::default() };
-        [r.now, r.house.proxies, r.pooled, r.away, r.taken, r.taken_lately] = Part::get(from)?;
-        [r.salt, r.held_late, r.fetch_room, r.faded] = Part::get(from)?;
+        [r.now, r.house.proxies, r.pooled, r.taken, r.taken_lately] = Part::get(from)?;
+        [r.salt, r.fetch_room, r.faded] = Part::get(from)?;
         (r.watch_fails, r.origin) = Part::get(from)?;
         r.chance = Part::get(from)?;
         r.caches = Part::get(from)?;
         [r.admitted, r.fetches_out, r.fetch_share, r.links] = Part::get(from)?;
-        r.erred = Part::get(from)?;
         r.times = Part::get(from)?;
-        r.kinds = Part::get(from)?;
         r.fetches = Part::get(from)?;
         r.lines = Part::get(from)?;
         r.barred = Vec::<(String, u64)>::get(from)?.into_iter().collect();
@@ -279,8 +275,7 @@
         }
         let caches = r.caches.len();
         let known = r.lookups.values().flat_map(|l| &l.shots).all(|s| s.cache < caches);
-        let of_kinds = r.caches.iter().all(|c| c.kind < r.kinds.len() || c.id.is_empty());
-        let good = of_kinds && from.words.next().is_none() && known && r.origin.is_none_or(|o| o < caches);
+        let good = from.words.next().is_none() && known && r.origin.is_none_or(|o| o < caches);
         good.then(|| {
             r.rings();
             r
