--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -257,6 +257,8 @@
     pub calls: u32,     // wakes and probes for it that are still to come back
     pub stay: Tenths,   // how long it is left alone next
     pub lately: Tenths, // what its answers took, the last counting most
+    pub refusals: u64,  // as full, since an answer
+    pub seldom: bool,   // it had answered nothing for a twentieth of a second before its last
     pub room: u64,      // hundredths of a shot that it takes at once without being late
     pub credit: u64,    // while it is cold: thousandths of a shot that it may still be sent
 }
@@ -296,11 +298,6 @@
     mixed(seen ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
-/// A share in ten-thousandths of about the last 32, after one more that was so or was not.
-pub(crate) fn leaning(share: u64, to: bool) -> u64 {
-    (share * 31 + if to { 10_000 } else { 0 }) / 32
-}
-
 pub(crate) fn mixed(mut h: u64) -> u64 {
     h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -7,7 +7,7 @@
 //! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
 
 use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Line, Lkp, Lookup};
-use crate::plain::{Shot, Standing, Tally, Tenths, leaning, mixed, point};
+use crate::plain::{Shot, Standing, Tally, Tenths, mixed, point};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 const SECOND: Tenths = 10_000;
@@ -31,11 +31,21 @@
         let late = took > if cache { (own / 2).min(shortest * 3 / 4) } else { own * 3 / 4 };
         match ending {
             Ending::Resolved if !late && company * 200 > c.room => c.room += 16,
-            // What was out is too much: one of many proxies has a shot at a cache now and then.
-            Ending::Resolved | Ending::TimedOut if late => c.room = (c.room * 7 / 8).min(company * 100),
+            // What was out is too much where it is seldom heard of: one of many proxies has few answers of it.
+            Ending::Resolved | Ending::TimedOut if late => {
+                c.room = (c.room * 7 / 8).min(if c.seldom { company * 100 } else { c.room });
+            }
+            // One at a time is no load: guards caches that turn away a part of whatever comes. Where that is
+            // half, one run in sixteen is of four, and a cache that is truly full answers nothing in between.
+            Ending::Full if cache && c.refusals < 4 => c.room -= (c.room / 4).min(c.room.saturating_sub(100)),
             Ending::Full => c.room -= c.room / 4,
             _ => {}
         }
+        c.refusals = match ending {
+            Ending::Full => c.refusals + 1,
+            Ending::Resolved | Ending::Miss => 0,
+            _ => c.refusals,
+        };
         c.room = c.room.clamp(10, 10_000);
     }
 }
@@ -55,9 +65,8 @@
     pub(crate) taken_lately: u64, // halved each second
     pub(crate) fetches: HashMap<u64, Vec<Lkp>>,
     pub(crate) times: Tally,
-    pub(crate) fetches_out: [u64; 2], // shots for keys resolved here lately, and for others
+    pub(crate) fetches_out: u64, // shots for keys not resolved here lately
     pub(crate) lines: HashMap<u64, Line>, // by key, where lookups run in order
-    pub(crate) fetch_share: [u64; 2], // ten-thousandths of each that caches said they fetched
     pub(crate) fetch_room: u64, // hundredths of a fetch that may be out
     pub(crate) kept: [HashSet<u64>; 2], // keys resolved lately, and before that
     pub(crate) faded: Tenths,
@@ -80,7 +89,6 @@
             house,
             salt: mixed(chance.0),
             chance,
-            fetch_share: [0, 10_000],
             // Thirty where thirty share the origin: where hundreds do, as many together.
             fetch_room: (90_000 / proxies).clamp(100, 3000),
             admitted: [1000; 2],
@@ -433,9 +441,7 @@
         }
         // Guards the origin behind the caches: when fetches fail or come late, lookups for keys that are not
         // known to be held are deferred.
-        let fetching: u64 = (0..2).map(|i| self.fetches_out[i] * self.fetch_share[i] / 100).sum();
-        // It counts as the part of a fetch that it likely is.
-        if self.fresh(l) && fetching + l.luck * self.fetch_share[1] / 10_000 >= self.fetch_room {
+        if self.fresh(l) && self.fetches_out * 100 + l.luck >= self.fetch_room {
             return self.spare_origin(lkp, out);
         }
         let first = match mixed(l.key) / 1000 {
@@ -458,15 +464,10 @@
         ending: Ending,
         vain: bool,
     ) {
-        self.fetches_out[usize::from(fresh)] -= 1;
+        self.fetches_out -= u64::from(fresh);
         if !self.house.through {
             return;
         }
-        // One of many proxies has resolved little of what a cache holds: the cache's word tells the share.
-        if let Some(fetched) = fetched {
-            let share = &mut self.fetch_share[usize::from(fresh)];
-            *share = leaning(*share, fetched);
-        }
         if fetched.unwrap_or(fresh) || ending == Ending::Error {
             self.fetch_room = match ending {
                 Ending::Resolved if !vain => self.fetch_room + 8,
@@ -520,7 +521,7 @@
 
     fn shoot(&mut self, lkp: Lkp, cache: Cache, out: &mut dyn Carrier) {
         let (hush, fresh) = (self.hush(), self.lookups.get(&lkp.0).is_some_and(|l| self.fresh(l)));
-        self.fetches_out[usize::from(fresh)] += 1;
+        self.fetches_out += u64::from(fresh);
         let (Some(l), c) = (self.lookups.get_mut(&lkp.0), &mut self.caches[cache]) else { return };
         if c.out == 0 {
             (c.owes_since, c.hushed) = (self.now, false);
@@ -766,6 +767,7 @@
         let (cache, sent, company, fresh, begun, opens) = (s.cache, s.sent, s.company, s.fresh, s.begun, s.opens);
         let c = &mut router.caches[cache];
         let silent = c.owes_since <= sent;
+        c.seldom = router.now > c.answered + SECOND / 20;
         (c.out, c.flows) = (c.out - 1, c.flows - u64::from(begun));
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full | Ending::Wrong) {
             (c.owes_since, c.answered, c.hushed) = (router.now, router.now, false);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -153,7 +153,7 @@
     Shot { cache, sent, company, out, may_have_run, bad, begun, opens, fresh }
     Known {
         id, zone, cell, size, held, part, standing, born, out, flows, owes_since, answered, heard, hushed, doubt, left, linked, calls, stay,
-        lately, room, credit,
+        lately, refusals, seldom, room, credit,
     }
 }
 
@@ -234,7 +234,8 @@
         (self.watch_fails, self.origin).put(&mut to);
         self.chance.put(&mut to);
         self.caches.put(&mut to);
-        [self.admitted, self.fetches_out, self.fetch_share, self.links].put(&mut to);
+        [self.admitted, self.links].put(&mut to);
+        self.fetches_out.put(&mut to);
         self.times.put(&mut to);
         self.fetches.put(&mut to);
         self.lines.put(&mut to);
@@ -259,7 +260,8 @@
         (r.watch_fails, r.origin) = Part::get(from)?;
         r.chance = Part::get(from)?;
         r.caches = Part::get(from)?;
-        [r.admitted, r.fetches_out, r.fetch_share, r.links] = Part::get(from)?;
+        [r.admitted, r.links] = Part::get(from)?;
+        r.fetches_out = Part::get(from)?;
         r.times = Part::get(from)?;
         r.fetches = Part::get(from)?;
         r.lines = Part::get(from)?;
