--- a/crates/policy/src/asked.rs
+++ b/crates/policy/src/asked.rs
@@ -1,6 +1,6 @@
 //! Ways into a router that decide nothing: what callers ask of it, and calls that only pass on.
 
-use crate::plain::{Cache, Carrier, HouseRules, Lkp, Lookup, Standing, Tenths, point};
+use crate::plain::{Cache, Carrier, Held, HouseRules, Lkp, Lookup, Standing, Tenths, point};
 use crate::policy::Router;
 use std::collections::BTreeMap;
 
@@ -19,6 +19,18 @@
         self.house.namespaces.len()
     }
 
+    /// Operators take a cache out at that moment, whatever any list says, or put it back. It is restarted in
+    /// between: back, it is as cold as one that started then, and what was held against it is void.
+    pub fn bar(&mut self, id: &str, out: bool, at: Tenths) {
+        _ = if out { Some(*self.barred.entry(id.into()).or_insert(at)) } else { self.barred.remove(id) };
+        for cache in (0..self.caches.len()).filter(|_| !out) {
+            if self.caches[cache].id == id {
+                self.started(cache, at);
+            }
+        }
+        self.rings();
+    }
+
     /// Whether operators have a cache out.
     pub fn is_barred(&self, cache: Cache) -> bool {
         self.caches.get(cache).is_some_and(|c| self.barred.contains_key(&c.id))
@@ -59,6 +71,18 @@
 }
 
 impl Lkp {
+    /// Limits have changed while it is open: what is sent from now on goes by the new ones, and so does its
+    /// time limit where that is shorter and can still be kept.
+    pub fn renewed(self, router: &mut Router, ns: usize, expires: Tenths, out: &mut dyn Carrier) {
+        let (now, rules) = (router.now, Held::of(&router.house.namespaces[ns]));
+        let Some(l) = router.lookups.get_mut(&self.0).filter(|l| !l.over) else { return };
+        l.rules = rules;
+        if now < expires && expires < l.expires {
+            (l.expires, l.useful_until, l.cut) = (expires, l.useful_until.min(expires), true);
+            out.wake(self.0, expires - now);
+        }
+    }
+
     pub fn route(self, router: &mut Router, out: &mut dyn Carrier) {
         router.place(self, out);
     }
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -69,8 +69,8 @@
     pub proxies: u64,
     /// Half of how long the list is left alone after a failed call, and how long it is at the most.
     pub list_rest: (Tenths, Tenths),
-    pub through: bool,      // caches fetch for themselves
-    pub sizes: bool,        // what the list says of them is their own, and not their load of the moment
+    pub through: bool, // caches fetch for themselves
+    pub sizes: bool,   // what the list says of them is their own, and not their load of the moment
     pub origin_kind: Option<usize>,
     pub key_quiet: Tenths, // a key rests after a shot that may still run, where its lookups run in order
 
@@ -240,9 +240,9 @@
     pub id: String,
     pub zone: usize,
     pub cell: u64,
-    pub size: u64, // as stated; the largest stated, where it is lowered by load
+    pub size: u64,        // as stated; the largest stated, where it is lowered by load
     pub held: (u64, u64), // hundredths of a lookup a core that it holds, as the list told before and last
-    pub part: u64, // thousandths of its keys that it keeps for what it was told to hold
+    pub part: u64,        // thousandths of its keys that it keeps for what it was told to hold
     pub standing: Standing,
     pub born: Tenths,
     pub out: u64,           // own shots in flight
@@ -298,6 +298,11 @@
     mixed(seen ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
+/// A share in ten-thousandths of about the last 32, after one more that was so or was not.
+pub(crate) fn leaning(share: u64, to: bool) -> u64 {
+    (share * 31 + if to { 10_000 } else { 0 }) / 32
+}
+
 pub(crate) fn mixed(mut h: u64) -> u64 {
     h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -7,7 +7,7 @@
 //! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
 
 use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Line, Lkp, Lookup};
-use crate::plain::{Shot, Standing, Tally, Tenths, mixed, point};
+use crate::plain::{Shot, Standing, Tally, Tenths, leaning, mixed, point};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 const SECOND: Tenths = 10_000;
@@ -65,13 +65,14 @@
     pub(crate) taken_lately: u64, // halved each second
     pub(crate) fetches: HashMap<u64, Vec<Lkp>>,
     pub(crate) times: Tally,
-    pub(crate) fetches_out: u64, // shots for keys not resolved here lately
+    pub(crate) fetches_out: u64,          // shots for keys not resolved here lately
     pub(crate) lines: HashMap<u64, Line>, // by key, where lookups run in order
-    pub(crate) fetch_room: u64, // hundredths of a fetch that may be out
-    pub(crate) kept: [HashSet<u64>; 2], // keys resolved lately, and before that
+    pub(crate) fetch_room: u64,           // hundredths of a fetch that may be out
+    pub(crate) kept: [HashSet<u64>; 2],   // keys resolved lately, and before that
     pub(crate) faded: Tenths,
     pub(crate) watch_fails: u32,
-    pub(crate) salt: u64, // own, so that proxies pass a loaded cache for different keys
+    pub(crate) salt: u64,    // own, so that proxies pass a loaded cache for different keys
+    pub(crate) refused: u64, // ten-thousandths of the shots at caches that found no connection
     pub(crate) links: [u64; 2], // hundredths of the caches that connections may be held to, own zone and others
     pub(crate) barred: BTreeMap<String, Tenths>, // ids that operators took out, listed or not: since when
 }
@@ -141,18 +142,12 @@
         for e in entries {
             let known = self.caches.len().max(e.cache + 1);
             self.caches.resize_with(known, Known::default);
-            let c = &mut self.caches[e.cache];
-            if c.id != e.id {
-                *c = Known { id: e.id.to_string(), room: 800, part: 1000, ..Known::default() };
-            }
-            if e.born > c.born {
-                // A new process under an old id: what was held against the old one is void.
-                (c.doubt, c.left, c.stay, c.part) = (0, false, 0, 1000);
-                // Some of many proxies begin with a shot, by chance, or all would send theirs together.
-                c.credit = self.house.cold_floor() + self.chance.below(1000);
+            if self.caches[e.cache].id != e.id {
+                self.caches[e.cache] = Known { id: e.id.into(), room: 800, part: 1000, ..Known::default() };
             }
-            // Never back: one that operators put back has started since, though no list knows it yet.
-            (c.zone, c.cell, c.standing, c.born) = (e.zone, e.cell, e.standing, e.born.max(c.born));
+            self.started(e.cache, e.born);
+            let c = &mut self.caches[e.cache];
+            (c.zone, c.cell, c.standing) = (e.zone, e.cell, e.standing);
             c.size = if self.house.sizes { e.size.max(1) } else { c.size.max(e.size).max(1) };
             c.held = (c.held.1, if self.house.sizes { 0 } else { c.size * 100 / e.size.max(1) - 100 });
             if Some(e.kind) == self.house.origin_kind {
@@ -163,6 +158,17 @@
         self.rings();
     }
 
+    /// A new process under an old id: what was held against the old one is void. Some of many proxies begin
+    /// with a shot, by chance, or all would send theirs together. Never back to an older one: what operators
+    /// put back has started since, though no list knows it yet.
+    pub(crate) fn started(&mut self, cache: Cache, at: Tenths) {
+        if at > self.caches[cache].born {
+            let credit = self.house.cold_floor() + self.chance.below(1000);
+            let c = &mut self.caches[cache];
+            (c.born, c.credit, c.doubt, c.left, c.stay, c.part) = (at, credit, 0, false, 0, 1000);
+        }
+    }
+
     /// A cache that the list says holds over three lookups a core, and more than the mean cache, keeps an eighth
     /// less of its keys, or else a sixtieth more: the same keys at every proxy, as all have the same list.
     fn spread(&mut self, entries: &[Entry]) {
@@ -180,17 +186,6 @@
         }
     }
 
-    /// Operators take a cache out at that moment, whatever any list says, or put it back. It is restarted in
-    /// between: back, it is as cold as one that started then, and what was held against it is void.
-    pub fn bar(&mut self, id: &str, out: bool, at: Tenths) {
-        _ = if out { Some(*self.barred.entry(id.into()).or_insert(at)) } else { self.barred.remove(id) };
-        let by_chance = self.house.cold_floor() + self.chance.below(1000);
-        for c in self.caches.iter_mut().filter(|c| !out && c.id == id && at > c.born) {
-            (c.born, c.credit, c.doubt, c.left, c.stay) = (at, by_chance, 0, false, 0);
-        }
-        self.rings();
-    }
-
     /// 128 points a cache, as the design has it, from the id alone: all proxies build one ring. The points of
     /// caches that stay are kept as they are: a place is another's only after it was gone, and had none.
     pub(crate) fn rings(&mut self) {
@@ -211,13 +206,9 @@
             out.log("list watch is lost", "");
         }
         self.watch_fails = (self.watch_fails + 1).min(4);
-        self.ask_later(out);
-    }
-
-    /// Asks for the list after 1 s, doubled up to 8 s at each failure and halved at each answer, from half to
-    /// three halves of it by chance: the list is one small service for all, whose queue must run dry first.
-    /// Sooner where what was missed counts as told before.
-    fn ask_later(&mut self, out: &mut dyn Carrier) {
+        // After 1 s, doubled up to 8 s at each failure and halved at each answer, from half to three halves of it
+        // by chance: the list is one small service for all, whose queue must run dry first. Sooner where what
+        // was missed counts as told before.
         let (half, most) = self.house.list_rest;
         let wait = (half << self.watch_fails).min(most);
         let by_chance = self.chance.below(wait);
@@ -332,21 +323,18 @@
         let largest = zone.iter().map(|c| size(&self.caches[*c])).max().unwrap_or(1).max(1);
         let its_part = |c: &Known| {
             care < 2
-                || (mixed(l.key) / 100_000_000 % 1000 < size(c) * 1000 / largest && mixed(l.key ^ self.salt) % 1000 < c.part)
+                || (mixed(l.key) / 100_000_000 % 1000 < size(c) * 1000 / largest
+                    && mixed(l.key ^ self.salt) % 1000 < c.part)
         };
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
-        let held = [self.linked(0), self.linked(1)];
-        let may_open = |c: &Known| {
-            let place = usize::from(c.zone != self.house.zone);
-            held[place] * 100 + 100 <= self.links[place]
-        };
+        let may_open = [0, 1].map(|place| self.linked(place) * 100 + 100 <= self.links[place]);
         let may_be_asked = |cache: &Cache| {
             let (cache, c) = (*cache, &self.caches[*cache]);
             let trusted = !c.left && (c.doubt < 6 || c.out == 0);
             (trusted || none_trusted)
                 && (care == 0 || !self.silent(cache))
-                && (c.linked || may_open(c))
+                && (c.linked || may_open[usize::from(c.zone != self.house.zone)])
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && (care == 2 || c.held.1 <= 300 + l.luck * 6)
                 && self.warm_enough(cache, l)
@@ -456,14 +444,7 @@
     }
 
     /// Learns from a shot's end how many fetches the origin behind the caches takes, and which keys are kept.
-    fn fetch_ended(
-        &mut self,
-        key: u64,
-        fresh: bool,
-        fetched: Option<bool>,
-        ending: Ending,
-        vain: bool,
-    ) {
+    fn fetch_ended(&mut self, key: u64, fresh: bool, fetched: Option<bool>, ending: Ending, vain: bool) {
         self.fetches_out -= u64::from(fresh);
         if !self.house.through {
             return;
@@ -535,7 +516,8 @@
         let ran = l.shots.iter().filter(|s| s.may_have_run && ns.repeats == "tagged");
         let by = ran.map(|s| s.sent + ns.window).min().unwrap_or(l.expires);
         let opens = !std::mem::replace(&mut c.linked, true);
-        let shot = Shot { cache, sent, company, out: true, may_have_run: true, opens, fresh, ..Shot::default() };
+        let shot =
+            Shot { cache, sent, company, out: true, may_have_run: true, opens, fresh, ..Shot::default() };
         l.shots.push(shot);
         let copied = ns.copies_after.and_then(|part| self.times.under(part));
         out.shoot(lkp, cache, l.expires.min(sent + ns.shot_wait), by);
@@ -709,18 +691,6 @@
 }
 
 impl Lkp {
-    /// Limits have changed while it is open: what is sent from now on goes by the new ones, and so does its
-    /// time limit where that is shorter and can still be kept.
-    pub fn renewed(self, router: &mut Router, ns: usize, expires: Tenths, out: &mut dyn Carrier) {
-        let (now, rules) = (router.now, Held::of(&router.house.namespaces[ns]));
-        let Some(l) = router.lookups.get_mut(&self.0).filter(|l| !l.over) else { return };
-        l.rules = rules;
-        if now < expires && expires < l.expires {
-            (l.expires, l.useful_until, l.cut) = (expires, l.useful_until.min(expires), true);
-            out.wake(self.0, expires - now);
-        }
-    }
-
     /// A shot's answer has begun: it is the client's now, and no clock of ours runs for it, nor does the
     /// cache owe anything for it. What else is out for the lookup is of no use any more.
     pub fn answer_begun(self, router: &mut Router, shot: usize, out: &mut dyn Carrier) {
@@ -764,7 +734,8 @@
         s.may_have_run = !not_run.contains(&ending);
         // Who alone may serve it may be asked again across a connection that broke.
         s.bad = ending != Ending::Miss && !(ending == Ending::Broken && l.order.is_some());
-        let (cache, sent, company, fresh, begun, opens) = (s.cache, s.sent, s.company, s.fresh, s.begun, s.opens);
+        let (cache, sent, company, fresh, begun, opens) =
+            (s.cache, s.sent, s.company, s.fresh, s.begun, s.opens);
         let c = &mut router.caches[cache];
         let silent = c.owes_since <= sent;
         c.seldom = router.now > c.answered + SECOND / 20;
@@ -778,17 +749,20 @@
         let ending = if lost { Ending::Withdrawn } else { ending };
         let from_cache = Some(cache) != router.origin;
         let refused = ending == Ending::Unreachable;
-        let mut refused_at = None;
         c.linked &= !refused && ending != Ending::Broken;
-        // Guards caches short of places against hundreds that each want one at all of them: no more are held
-        // than were found, and one more is tried every four seconds.
-        let no_place = refused && opens && from_cache;
-        if no_place {
-            refused_at = Some(usize::from(c.zone != router.house.zone));
+        if from_cache {
+            router.refused = leaning(router.refused, refused);
         }
+        let no_place = refused && opens && router.refused > 600;
         let target = l.rules.target;
-        if let Some(place) = refused_at {
+        // Guards caches short of places against hundreds that each want one at all of them: no more are held than
+        // were found, one more is tried every four seconds, and two more where that is let in. Two refused of
+        // thirty-two are more than one cache that died, which is left.
+        let place = usize::from(router.caches[cache].zone != router.house.zone);
+        if no_place {
             router.links[place] = router.links[place].min(100 * router.linked(place).max(1));
+        } else if opens && from_cache && matches!(ending, Ending::Resolved | Ending::Miss) {
+            router.links[place] = (router.links[place] + 200).min(1 << 30);
         }
         let c = &mut router.caches[cache];
         if matches!(ending, Ending::Resolved | Ending::TimedOut) {
