--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -221,6 +221,11 @@
 }
 
 impl Lookup {
+    /// The numbers of its shots that have no outcome yet.
+    pub fn shots_out(&self) -> impl Iterator<Item = usize> {
+        self.shots.iter().enumerate().filter(|(_, s)| s.out).map(|(i, _)| i)
+    }
+
     pub fn out(&self) -> bool {
         self.shots.iter().any(|s| s.out)
     }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,10 +1,8 @@
 //! Every decision of chalkwalk stands in this file; `plain.rs` holds the types it is called with.
 //!
-//! One `Router` is one proxy. Set its clock with `clock`, hand it the list of caches with `list_whole`,
-//! `list_changes` or `watch_failed`, and each lookup with `take`, which returns a handle:
-//! call `lkp.route(..)` once, then `lkp.shot_ended(..)`, `lkp.answer_begun(..)` and `lkp.client_left(..)`
-//! as things happen to it. `woken` and `probed` bring back what the router asked for. What it wants done
-//! leaves by the `Carrier` passed into each call. The same calls lead to the same decisions.
+//! One `Router` is one proxy. Set its clock with `clock`, hand it lists of caches, and each lookup with `take`:
+//! its handle takes `route(..)` once, then what happens to it. `woken` and `probed` bring back what the router
+//! asked for. What it wants done leaves by the `Carrier`. The same calls lead to the same decisions.
 
 use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Line, Lkp, Lookup};
 use crate::plain::{Shot, Standing, Tally, Tenths, leaning, mixed, point};
@@ -65,9 +63,7 @@
     pub(crate) taken_lately: u64, // halved each second
     pub(crate) fetches: HashMap<u64, Vec<Lkp>>,
     pub(crate) times: Tally,
-    pub(crate) fetches_out: u64,          // shots for keys not resolved here lately
     pub(crate) lines: HashMap<u64, Line>, // by key, where lookups run in order
-    pub(crate) fetch_room: u64,           // hundredths of a fetch that may be out
     pub(crate) kept: [HashSet<u64>; 2],   // keys resolved lately, and before that
     pub(crate) faded: Tenths,
     pub(crate) watch_fails: u32,
@@ -80,7 +76,6 @@
 impl Router {
     pub fn new(seed: u64, said: &BTreeMap<String, String>, out: &mut dyn Carrier) -> Router {
         let (house, mut chance) = (HouseRules::read(said), Chance(mixed(seed) | 1));
-        let proxies = house.proxies.max(1);
         if said.get("watched").is_some_and(|w| w == "1") {
             // As all that were killed together start together. Over 3 s: a service that takes a call of each
             // of a fleet in 2 s to 8 s then holds few that wait too long, which are work for nobody.
@@ -90,8 +85,6 @@
             house,
             salt: mixed(chance.0),
             chance,
-            // Thirty where thirty share the origin: where hundreds do, as many together.
-            fetch_room: (90_000 / proxies).clamp(100, 3000),
             admitted: [1000; 2],
             links: [1 << 30; 2],
             ..Router::default()
@@ -125,8 +118,6 @@
         }
     }
 
-    // ---- the list of caches ----
-
     pub fn list_whole(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
         self.caches.iter_mut().for_each(|c| c.standing = Standing::Gone);
         self.list_changes(entries, out);
@@ -172,9 +163,8 @@
     /// A cache that the list says holds over three lookups a core, and more than the mean cache, keeps an eighth
     /// less of its keys, or else a sixtieth more: the same keys at every proxy, as all have the same list.
     fn spread(&mut self, entries: &[Entry]) {
-        let ready: Vec<u64> =
-            (0..self.caches.len()).filter(|i| self.ready(*i)).map(|i| self.caches[i].held.1).collect();
-        let mean = ready.iter().sum::<u64>() / ready.len().max(1) as u64;
+        let ready = || (0..self.caches.len()).filter(|i| self.ready(*i));
+        let mean = ready().map(|i| self.caches[i].held.1).sum::<u64>() / ready().count().max(1) as u64;
         for e in entries {
             let c = &mut self.caches[e.cache];
             let (before, held) = c.held;
@@ -215,8 +205,6 @@
         out.wake(WATCH_TOKEN, wait / 2 + by_chance);
     }
 
-    // ---- which cache ----
-
     fn ready(&self, cache: Cache) -> bool {
         let c = &self.caches[cache];
         Some(cache) != self.origin && c.standing == Standing::Ready && !self.barred.contains_key(&c.id)
@@ -303,8 +291,7 @@
     /// trusted.
     fn walk(&self, ring: usize, l: &Lookup, care: u32) -> Option<Cache> {
         let ring = if l.order.is_some() { &[][..] } else { &self.rings[ring][..] };
-        let mut zone: Vec<Cache> = l.order.clone().unwrap_or_default();
-        zone.retain(|c| self.ready(*c));
+        let mut zone: Vec<Cache> = l.order.iter().flatten().copied().filter(|c| self.ready(*c)).collect();
         let (mut seen, start) = (vec![false; self.caches.len()], ring.partition_point(|p| p.0 < l.key));
         for i in 0..ring.len() {
             let cache = ring[(start + i) % ring.len()].1;
@@ -315,17 +302,12 @@
                 }
             }
         }
-        // A smaller cache gives up half of the keys that it is short of the largest by, the same everywhere.
-        // Guards those that do less against as many keys as others: one of many proxies sees no lateness.
-        // Half, as keys are work and room to be kept in, and that room is nowhere stated.
-        let most = zone.iter().map(|c| self.caches[*c].size).max().unwrap_or(1);
-        let size = |c: &Known| c.size + most;
-        let largest = zone.iter().map(|c| size(&self.caches[*c])).max().unwrap_or(1).max(1);
-        let its_part = |c: &Known| {
-            care < 2
-                || (mixed(l.key) / 100_000_000 % 1000 < size(c) * 1000 / largest
-                    && mixed(l.key ^ self.salt) % 1000 < c.part)
-        };
+        // A smaller cache gives up half of the keys that it is short of the largest by, the same everywhere: half, as
+        // keys are work and room to be kept in, and that room is nowhere stated. And each is passed for what is not
+        // in its part, other keys at each proxy, so that a hot one splits.
+        let most = zone.iter().map(|c| self.caches[*c].size).max().unwrap_or(1).max(1);
+        let by_size = |c: &Known| mixed(l.key) / 100_000_000 % 1000 < (c.size + most) * 500 / most;
+        let its_part = |c: &Known| care < 2 || (by_size(c) && mixed(l.key ^ self.salt) % 1000 < c.part);
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
         let may_open = [0, 1].map(|place| self.linked(place) * 100 + 100 <= self.links[place]);
@@ -351,8 +333,6 @@
         zone.into_iter().find(|c| self.caches[*c].out < cap && may_be_asked(c))
     }
 
-    // ---- a lookup's way ----
-
     /// The same for a key that is known by its point alone.
     pub fn take_at(&mut self, ns: usize, key: u64, write: bool, expires: Tenths) -> Lkp {
         let lkp = Lkp(self.taken);
@@ -429,7 +409,7 @@
         }
         // Guards the origin behind the caches: when fetches fail or come late, lookups for keys that are not
         // known to be held are deferred.
-        if self.fresh(l) && self.fetches_out * 100 + l.luck >= self.fetch_room {
+        if self.fresh(l) && l.luck * 10 >= self.admitted[1] {
             return self.spare_origin(lkp, out);
         }
         let first = match mixed(l.key) / 1000 {
@@ -443,30 +423,6 @@
         }
     }
 
-    /// Learns from a shot's end how many fetches the origin behind the caches takes, and which keys are kept.
-    fn fetch_ended(&mut self, key: u64, fresh: bool, fetched: Option<bool>, ending: Ending, vain: bool) {
-        self.fetches_out -= u64::from(fresh);
-        if !self.house.through {
-            return;
-        }
-        if fetched.unwrap_or(fresh) || ending == Ending::Error {
-            self.fetch_room = match ending {
-                Ending::Resolved if !vain => self.fetch_room + 8,
-                Ending::Error => self.fetch_room * 7 / 8,
-                Ending::Resolved | Ending::TimedOut if vain => self.fetch_room * 15 / 16,
-                _ => self.fetch_room,
-            };
-            // Down to one lookup in twenty while none is out: one at a time from each of many is a flood.
-            self.fetch_room = self.fetch_room.clamp(5, 10_000);
-        }
-        if ending == Ending::Error {
-            // Guards against copies gone void: the key is not kept after all.
-            self.kept.iter_mut().for_each(|kept| _ = kept.remove(&key));
-        } else if ending == Ending::Resolved {
-            self.kept[0].insert(key);
-        }
-    }
-
     /// The origin is short: fewer copies of a key leave room for more keys, so by and by lookups go to the
     /// ring of all zones. Guards an origin that every zone by itself would ask for the same keys.
     fn spare_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
@@ -502,7 +458,6 @@
 
     fn shoot(&mut self, lkp: Lkp, cache: Cache, out: &mut dyn Carrier) {
         let (hush, fresh) = (self.hush(), self.lookups.get(&lkp.0).is_some_and(|l| self.fresh(l)));
-        self.fetches_out += u64::from(fresh);
         let (Some(l), c) = (self.lookups.get_mut(&lkp.0), &mut self.caches[cache]) else { return };
         if c.out == 0 {
             (c.owes_since, c.hushed) = (self.now, false);
@@ -557,8 +512,7 @@
     pub(crate) fn close(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         let Some(l) = self.lookups.get_mut(&lkp.0) else { return };
         if !l.over && self.house.withdrawals {
-            let open = l.shots.iter().enumerate().filter(|(_, s)| s.out);
-            open.for_each(|(i, _)| out.withdraw(lkp, i));
+            l.shots_out().for_each(|i| out.withdraw(lkp, i));
         }
         let (key, of_line) = (l.leads.then_some(l.key), l.key);
         (l.over, l.leads) = (true, false);
@@ -584,8 +538,6 @@
         }
     }
 
-    // ---- health ----
-
     /// Doubt grows where over one in four fails, and is enough after three in a row or if nothing listens: a
     /// fast failer holds little and would keep its keys. One broken connection is no reason to leave a cache.
     fn judge(&mut self, cache: Cache, ending: Ending, out: &mut dyn Carrier) {
@@ -624,14 +576,12 @@
     pub fn probed(&mut self, cache: Cache, answered: bool, out: &mut dyn Carrier) {
         let Some(c) = self.caches.get_mut(cache) else { return };
         c.calls = c.calls.saturating_sub(1);
-        if !c.left {
-            return;
-        }
-        if !answered {
-            return self.leave(cache, out);
+        if c.left && !answered {
+            self.leave(cache, out);
+        } else if c.left {
+            (c.left, c.doubt) = (false, 7);
+            out.log("cache tried again", &c.id);
         }
-        (c.left, c.doubt) = (false, 7);
-        out.log("cache tried again", &c.id);
     }
 
     pub fn woken(&mut self, token: u64, out: &mut dyn Carrier) {
@@ -656,8 +606,7 @@
             };
         }
         if l.cut && self.now >= l.expires {
-            let open = l.shots.iter().enumerate().filter(|(_, s)| s.out);
-            return open.for_each(|(i, _)| out.withdraw(lkp, i));
+            return l.shots_out().for_each(|i| out.withdraw(lkp, i));
         }
         let Some(i) = l.shots.iter().rposition(|s| s.out) else { return };
         let (cache, sent, hush) = (l.shots[i].cache, l.shots[i].sent, self.hush());
@@ -703,8 +652,7 @@
             (c.owes_since, c.answered, c.hushed, c.flows) = (now, now, false, c.flows + 1);
             c.heard = c.heard.max(s.sent);
         }
-        let others = l.shots.iter().enumerate().filter(|(i, s)| s.out && *i != shot && withdrawals);
-        others.for_each(|(i, _)| out.withdraw(self, i));
+        l.shots_out().filter(|i| *i != shot && withdrawals).for_each(|i| out.withdraw(self, i));
     }
 
     /// A shot ended; `finished` says that the client has its answer, by this or before.
@@ -717,10 +665,8 @@
         finished: bool,
         out: &mut dyn Carrier,
     ) {
-        let (fetched, ending) = match ending {
-            Ending::Held | Ending::Fetched => (Some(ending == Ending::Fetched), Ending::Resolved),
-            _ => (None, ending),
-        };
+        let served = matches!(ending, Ending::Held | Ending::Fetched);
+        let ending = if served { Ending::Resolved } else { ending };
         let overdue = router.overdue();
         let Some(l) = router.lookups.get_mut(&self.0) else { return };
         let Some(s) = l.shots.get_mut(shot).filter(|s| s.out) else { return };
@@ -772,29 +718,32 @@
             router.times.add(took);
         }
         if from_cache && matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
-            c.part = match took > target / 2 {
-                true if took >= target => (c.part / 2).max(30),
-                true => c.part,
-                false => (c.part + 125).min(1000),
-            };
+            // Half for one past its target, as one of many proxies has few to learn by, down to what still tells how
+            // it does; eight in time give all back.
+            let grown = if took > target / 2 { c.part } else { (c.part + 125).min(1000) };
+            c.part = if took < target { grown } else { (c.part / 2).max(30) };
         }
         router.house.resize(c, ending, took, company, target, from_cache);
         let Some(l) = router.lookups.get_mut(&self.0) else { return };
         let key = (l.leads && !from_cache).then_some(l.key);
         l.leads &= key.is_none();
         let (asked, over, in_ring) = (l.key, l.over, l.order.is_none());
-        let vain = took >= target && !(ending == Ending::TimedOut && silent);
         // An error on a fetch may be the origin's, and says nothing of the cache.
         let of_origin = fresh && ending == Ending::Error;
-        router.fetch_ended(asked, fresh, fetched, ending, vain);
+        // Guards against copies gone void: after an error the key is not kept after all.
+        if router.house.through && ending == Ending::Resolved {
+            router.kept[0].insert(asked);
+        } else if ending == Ending::Error {
+            router.kept.iter_mut().for_each(|kept| _ = kept.remove(&asked));
+        }
         if !(of_origin || no_place || ending == Ending::TimedOut && !silent) {
             router.judge(cache, ending, out);
         }
-        if matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
+        if of_origin || matches!(ending, Ending::Resolved | Ending::Miss | Ending::TimedOut) {
             // An eighth down and a seventeenth up hold all lookups while up to one in three is late.
-            let late = took >= target || ending == Ending::TimedOut;
-            let part = &mut router.admitted[usize::from(!from_cache)];
-            *part = if late { *part * 7 / 8 } else { (*part + 60).min(1000) }.max(100);
+            let late = took >= target || of_origin || ending == Ending::TimedOut;
+            let part = &mut router.admitted[usize::from(!from_cache || fresh)];
+            *part = if late { *part * 7 / 8 } else { (*part + 60).min(1000) }.max(50);
         }
         if from_cache && matches!(ending, Ending::Resolved | Ending::Miss) {
             router.give_credit(cache);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -230,12 +230,11 @@
         let mut to = State::default();
         let class = |l: &Lookup| self.house.namespaces.iter().position(|rules| l.rules.is(rules));
         [self.now, self.house.proxies, self.pooled, self.taken, self.taken_lately].put(&mut to);
-        [self.salt, self.fetch_room, self.faded, self.refused].put(&mut to);
+        [self.salt, self.faded, self.refused].put(&mut to);
         (self.watch_fails, self.origin).put(&mut to);
         self.chance.put(&mut to);
         self.caches.put(&mut to);
         [self.admitted, self.links].put(&mut to);
-        self.fetches_out.put(&mut to);
         self.times.put(&mut to);
         self.fetches.put(&mut to);
         self.lines.put(&mut to);
@@ -256,12 +255,11 @@
         let from = &mut Taking { words: state.words.iter(), texts: state.texts.iter() };
         let mut r = Router { house: HouseRules::read(said), ..Router::default() };
         [r.now, r.house.proxies, r.pooled, r.taken, r.taken_lately] = Part::get(from)?;
-        [r.salt, r.fetch_room, r.faded, r.refused] = Part::get(from)?;
+        [r.salt, r.faded, r.refused] = Part::get(from)?;
         (r.watch_fails, r.origin) = Part::get(from)?;
         r.chance = Part::get(from)?;
         r.caches = Part::get(from)?;
         [r.admitted, r.links] = Part::get(from)?;
-        r.fetches_out = Part::get(from)?;
         r.times = Part::get(from)?;
         r.fetches = Part::get(from)?;
         r.lines = Part::get(from)?;
