What a process learned of the caches is taken up by the next one, on the same terms

A restart or upgrade began with full rooms and parts. Per cache its part, room and largest weight go into the handover file every 5 s and at the end: versioned, checksummed, 2000 caches at most; taken up within a minute on the same target times, zone and kind of weights, by caches not started since. All else starts afresh. Not where all is captured: a replay would not know of it.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -5,7 +5,7 @@
 use crate::members::{Line, Members};
 use crate::pool::Conn;
 use chalkwalk_capture::{Done, Tape, Told};
-use chalkwalk_policy::{Cache, Carrier, Ending, Lkp, Router, Tenths};
+use chalkwalk_policy::{Cache, Carrier, Ending, Learned, Lkp, Router, Tenths};
 use slog::{Logger, info};
 use smol::channel::{Receiver, Sender, bounded};
 use std::cell::{Cell, RefCell};
@@ -385,6 +385,25 @@
         self.members.is_off(cache) || self.router.is_barred(cache)
     }
 
+    /// What was learned of the caches, for the process that comes after this one.
+    pub fn learned(&self) -> Vec<Learned> {
+        self.router.learned()
+    }
+
+    /// Takes up what a process before this one has learned. Not where all is captured, as a replay would not know of it.
+    pub fn carry(&mut self, learned: Vec<Learned>) -> bool {
+        let taken = self.desk.tape.is_none();
+        if taken {
+            self.router.carry(learned);
+        }
+        taken
+    }
+
+    /// The terms on which this router learns.
+    pub fn terms(&self) -> u64 {
+        self.router.terms()
+    }
+
     /// Whether there is no cache to be asked by what was told.
     pub fn none_ready(&self) -> bool {
         self.router.none_ready()
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -26,6 +26,40 @@
     pub out: bool,
 }
 
+/// What was learned is taken up for so long after it was written down: as long as a restart or an upgrade takes.
+const FRESH: Tenths = 600_000;
+
+/// No more caches than these are told of, with ids of at most so many bytes: a fifth of the longest file.
+const MOST_LEARNED: usize = 2000;
+const LONGEST_ID: usize = 64;
+
+/// What a process has learned of the caches, when, and on what terms: of other ones it says nothing.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Learned {
+    pub at: Tenths,
+    pub terms: u64,
+    /// By id: when it started, its largest weight, part and room.
+    pub caches: BTreeMap<String, [u64; 4]>,
+}
+
+impl Learned {
+    /// The same within the bounds that are kept.
+    pub fn bounded(mut self) -> Learned {
+        let mut kept = 0;
+        self.caches.retain(|id, _| {
+            kept += usize::from(id.len() <= LONGEST_ID);
+            id.len() <= LONGEST_ID && kept <= MOST_LEARNED
+        });
+        self
+    }
+
+    /// Whether it may be taken up by a process with these terms. What was written down later than now is of a clock that
+    /// was set back, and as old as any.
+    pub fn holds(&self, terms: u64, now: Tenths) -> bool {
+        self.terms == terms && !self.caches.is_empty() && (self.at..self.at + FRESH).contains(&now)
+    }
+}
+
 /// One process, and all that it knows operators to have said.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Page {
@@ -38,6 +72,9 @@
     pub caches: BTreeMap<String, Word>,
     /// Whether the proxy is out of service.
     pub service: Word,
+    /// Not in the files of versions before.
+    #[serde(default)]
+    pub learned: Learned,
 }
 
 impl Page {
--- a/crates/handover/tests/pages.rs
+++ b/crates/handover/tests/pages.rs
@@ -1,6 +1,6 @@
 //! What two processes of a proxy come to know of each other, whoever reads whom first.
 
-use chalkwalk_handover::{Page, Word};
+use chalkwalk_handover::{LONGEST, Learned, Page, Word};
 use expect_test::expect;
 use proptest::prelude::*;
 
@@ -73,3 +73,19 @@
         prop_assert_eq!(one.service, other.service);
     }
 }
+
+/// What was learned is taken up on the same terms and within a minute; a version without it says nothing, and no file gets too
+/// long for it.
+#[test]
+fn what_was_learned_is_bounded_and_holds_for_a_minute_on_its_terms() {
+    let caches = (0..5000).map(|i| (format!("s-{i:060}"), [u64::MAX; 4])).collect();
+    let learned = Learned { at: 10_000, terms: 7, caches }.bounded();
+    let page = Page { learned: learned.clone(), ..Page::default() };
+    assert!(page.written().len() < LONGEST / 2);
+    assert_eq!(Page::read(&page.written()).unwrap().learned, learned);
+    let holds = [(7, 10_000), (7, 609_999), (7, 610_000), (7, 9_999), (8, 10_000)];
+    let holds = holds.map(|(terms, now)| learned.holds(terms, now));
+    assert_eq!((learned.caches.len(), holds), (2000, [true, true, false, false, false]));
+    let long = Learned { caches: [("x".repeat(65), [0; 4])].into(), ..learned };
+    assert!(!long.bounded().holds(7, 10_000));
+}
--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -74,6 +74,9 @@
     }
 }
 
+/// What the list's weights may be: none, a size, about a size, or a size that moves with load.
+const WEIGHTS: [&str; 4] = ["off", "nominal", "rough", "live"];
+
 /// No time is longer, in nanoseconds: half a year, so that none added to a clock is beyond what it can tell.
 const LONGEST: f64 = 1.5e16;
 
@@ -92,6 +95,9 @@
         }
         Rest => number().map(|n| (n.min(LONGEST) / 1e5).ceil().to_string()),
         Flag => value.as_bool().map(|b| u8::from(b).to_string()).ok_or_else(|| wrong("true or false")),
+        Word if path == "weightKind" && !value.as_str().is_none_or(|w| WEIGHTS.contains(&w)) => {
+            Err(wrong("one of off, nominal, rough, live"))
+        }
         Word => value.as_str().map(|w| in_house_words(w).to_string()).ok_or_else(|| wrong("a text")),
     }
 }
@@ -258,4 +264,25 @@
             setting scoreParts.missAllowed: expected a number, got "few""#]]
         .assert_eq(&told.join("\n"));
     }
+
+    /// What weights are is one of four words, or the usual where nothing is said; another is told plainly.
+    #[test]
+    fn what_weights_are_is_checked() {
+        let told = [
+            json!({}),
+            json!({"weightKind": "live"}),
+            json!({"weightKind": "lively"}),
+            json!({"weightKind": 3}),
+        ]
+        .map(|said| match read(said.as_object().unwrap()) {
+            Ok(house) => house.rules.get("size kind").cloned().unwrap_or("-".into()),
+            Err(fault) => fault,
+        });
+        expect_test::expect![[r#"
+            -
+            live
+            setting weightKind: expected one of off, nominal, rough, live, got "lively"
+            setting weightKind: expected a text, got 3"#]]
+        .assert_eq(&told.join("\n"));
+    }
 }
--- a/crates/policy/src/asked.rs
+++ b/crates/policy/src/asked.rs
@@ -1,6 +1,8 @@
 //! Ways into a router that decide nothing: what callers ask of it, and calls that only pass on.
 
-use crate::plain::{Cache, Carrier, Held, HouseRules, Lkp, Lookup, Standing, Tenths, point};
+use crate::plain::{
+    Cache, Carrier, Held, HouseRules, Known, Learned, Lkp, Lookup, Standing, Tenths, mixed, point,
+};
 use crate::policy::Router;
 use std::collections::BTreeMap;
 
@@ -31,6 +33,38 @@
         self.rings();
     }
 
+    /// What the figures of `learned` rest on: target times, the own zone, what weights say. Learned under others they mean
+    /// something else.
+    pub fn terms(&self) -> u64 {
+        let targets = self.house.namespaces.iter().map(|ns| ns.target);
+        let shape = [self.house.zone as u64, u64::from(self.house.sizes)];
+        targets.chain(shape).fold(0, |seen, n| mixed(seen.rotate_left(7) ^ mixed(n + 1)))
+    }
+
+    /// What was learned of the caches in service, of those where it differs from what holds at first.
+    pub fn learned(&self) -> Vec<Learned> {
+        let told = |c: &&Known| c.standing == Standing::Ready && (c.part, c.room) != (1000, 800);
+        let of =
+            |c: &Known| Learned { id: c.id.clone(), born: c.born, size: c.size, part: c.part, room: c.room };
+        self.caches.iter().filter(told).map(of).collect()
+    }
+
+    /// What a process before this one has learned on the same terms: taken up once the list names a cache that has not
+    /// started since. Connections, silences, doubts, times, and all that is learned of the origin start afresh.
+    pub fn carry(&mut self, learned: Vec<Learned>) {
+        self.carried = learned.into_iter().map(|l| (l.id.clone(), l)).collect();
+        (0..self.caches.len()).for_each(|cache| self.recall(cache));
+    }
+
+    pub(crate) fn recall(&mut self, cache: Cache) {
+        let c = &mut self.caches[cache];
+        if let Some(l) = self.carried.remove(&c.id).filter(|l| l.born == c.born) {
+            // Within what could have been learned, whatever is said.
+            (c.part, c.room) = (l.part.clamp(30, 1000), l.room.clamp(10, 10_000));
+            c.size = if self.house.sizes { c.size } else { c.size.max(l.size.min(1_000_000)) };
+        }
+    }
+
     /// Whether operators have a cache out.
     pub fn is_barred(&self, cache: Cache) -> bool {
         self.caches.get(cache).is_some_and(|c| self.barred.contains_key(&c.id))
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -246,6 +246,20 @@
     pub rests_until: Tenths,
 }
 
+/// What one process of a proxy has learned of a cache that means the same to the next.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learned {
+    pub id: String,
+    /// Of another start these figures say nothing.
+    pub born: Tenths,
+    /// The largest weight heard, in hundredths, where weights move with load.
+    pub size: u64,
+    /// Thousandths of its keys that it keeps.
+    pub part: u64,
+    /// Hundredths of a shot that it takes at once.
+    pub room: u64,
+}
+
 /// What this proxy knows of one cache (or of the origin).
 #[derive(Default)]
 pub(crate) struct Known {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,11 +1,10 @@
 //! Every decision of chalkwalk stands in this file; `plain.rs` holds the types it is called with.
 //!
 //! One `Router` is one proxy. Set its clock, hand it lists of caches, and each lookup with `take`: its handle
-//! takes `route(..)` once, then what happens to it. `woken` and `probed` bring back what the router
-//! asked for. What it wants done leaves by the `Carrier`. The same calls lead to the same decisions.
+//! takes `route(..)` once, then what happens to it. What it wants leaves by the `Carrier`. Same calls, same ways.
 
 use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Line, Lkp, Lookup};
-use crate::plain::{Shot, Standing, Tally, Tenths, leaning, mixed, point};
+use crate::plain::{Learned, Shot, Standing, Tally, Tenths, leaning, mixed, point};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 const SECOND: Tenths = 10_000;
@@ -70,6 +69,7 @@
     pub(crate) salt: u64,    // own, so that proxies pass a loaded cache for different keys
     pub(crate) refused: u64, // ten-thousandths of the shots at caches that found no connection
     pub(crate) links: [u64; 2], // hundredths of caches to hold connections to, own zone and others
+    pub(crate) carried: BTreeMap<String, Learned>, // by a process before, of caches not yet listed
     pub(crate) barred: BTreeMap<String, Tenths>, // ids that operators took out, listed or not: since when
 }
 
@@ -146,6 +146,7 @@
             if Some(e.kind) == self.house.origin_kind {
                 self.origin = Some(e.cache);
             }
+            self.recall(e.cache);
         }
         self.spread(entries);
         self.rings();
@@ -288,9 +289,8 @@
             && self.harmless(l, Some(cache), self.now)
     }
 
-    /// Walks a ring from the key's point, passing caches at the cap, left, silent or too cold. Care 2 keeps
-    /// to a cache's room, care 1 to 3/2 of it; care 0 also asks a silent cache, or a left one where none is
-    /// trusted.
+    /// Walks a ring from the key's point, passing caches at the cap, left, silent or too cold. Care 2 keeps to
+    /// a cache's room, care 1 to 3/2 of it; care 0 asks a silent one too, or a left one where none is trusted.
     fn walk(&self, ring: usize, l: &Lookup, care: u32) -> Option<Cache> {
         let ring = if l.order.is_some() { &[][..] } else { &self.rings[ring][..] };
         let mut zone: Vec<Cache> = l.order.iter().flatten().copied().filter(|c| self.ready(*c)).collect();
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 mod helper;
 
-use chalkwalk_policy::{Ending, Entry, Standing};
+use chalkwalk_policy::{Ending, Entry, Learned, Standing};
 use expect_test::expect;
 use helper::{CACHE, House, WATCH, house};
 
@@ -1307,3 +1307,44 @@
     }
     expect!["0"].assert_eq(&passed.to_string());
 }
+
+/// What a process before learned of a cache holds for the next one from its first lookup on, unless that cache has started
+/// since; figures beyond all that could be learned are cut to it. Nothing else is carried: cedar is asked though it was left.
+#[test]
+fn the_first_lookups_after_a_switch_go_by_what_was_learned_before() {
+    let mut old = house(&[]);
+    old.ready(&FOUR);
+    for i in 0..60 {
+        old.pass(2_000);
+        let lkp = old.ask(0, &format!("page/{i}"));
+        let id = old.last_asked();
+        let (took, ending) = match id.as_deref() {
+            Some("birch") => (10_000, Ending::Resolved),
+            Some("cedar") => (100, Ending::Broken),
+            _ => (100, Ending::Resolved),
+        };
+        lkp.shot_ended(&mut old.router, 0, ending, took, ending == Ending::Resolved, &mut old.trace);
+        old.left_by_client(lkp);
+    }
+    let learned = old.router.learned();
+    let spoilt =
+        learned.iter().map(|l| Learned { part: u64::MAX, room: u64::MAX, size: u64::MAX, ..l.clone() });
+    let days = [(Vec::new(), 0), (learned.clone(), 0), (learned.clone(), 5), (spoilt.collect(), 0)];
+    let first = days.map(|(carried, born)| {
+        let mut new = house(&[("cold time", "0")]);
+        new.router.carry(carried);
+        let rows = FOUR.map(|id| (id, 0, Standing::Ready, if id == "birch" { born } else { 0 }));
+        new.list(&rows);
+        new.told();
+        for i in 0..100 {
+            let lkp = new.ask(0, &format!("page/{i}"));
+            new.left_by_client(lkp);
+            new.end(lkp, 0, Ending::Withdrawn);
+        }
+        let told = new.told();
+        [1, 2].map(|cache| told.matches(&format!("> cache {cache}")).count())
+    });
+    let of: Vec<&str> = learned.iter().map(|l| l.id.as_str()).collect();
+    expect![[r#"["birch"]: [[30, 37], [16, 41], [30, 37], [30, 37]] of 100 to birch and cedar"#]]
+        .assert_eq(&format!("{of:?}: {first:?} of 100 to birch and cedar"));
+}
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -1,10 +1,12 @@
 //! What operators say to this proxy, kept for the process that comes after it, and heard from the one before it.
 
-use crate::pages::{Pages, Seen};
+use crate::pages::{News, Pages, Seen};
 use chalkwalk_console::{self as console, Controls, Doing, Done};
 use chalkwalk_core::core::Core;
 use chalkwalk_core::flow;
+use chalkwalk_handover::Learned;
 use chalkwalk_net::within;
+use chalkwalk_policy as policy;
 use slog::{info, warn};
 use smol::channel::bounded;
 use smol::lock::Mutex;
@@ -18,6 +20,10 @@
 /// be in force everywhere.
 const READ_AGAIN: Duration = Duration::from_millis(100);
 
+/// How often what was learned of the caches is written down, in tenths of a ms: a successor starts at any moment, and parts
+/// move by a half in a second at the worst. Every 5 s costs the disk little.
+const LEARNED_AGAIN: u64 = 50_000;
+
 /// How long an answer waits for its word to be kept, where the disk is slow: it is due within a second.
 const KEPT_BY: Duration = Duration::from_millis(700);
 /// How long the end waits to know who takes over.
@@ -45,7 +51,12 @@
         });
         // Nobody is served yet: it may wait for the disk.
         let glass = operators.pages.borrow().glass();
-        operators.take(glass.map(|glass| glass.look()).unwrap_or_default());
+        let news = operators.take(glass.map(|glass| glass.look()).unwrap_or_default());
+        let caches = news.learned.caches.len();
+        let taken = operators.carry(news.learned);
+        if caches > 0 {
+            info!(core.log, "{}", if taken { "learned figures taken up" } else { "learned figures passed over" }; "caches" => caches);
+        }
         core.ex.spawn(operators.clone().follow()).detach();
         let ex = core.clone();
         let spawn = move |task: console::Task| ex.ex.spawn(task).detach();
@@ -54,9 +65,14 @@
     }
 
     async fn follow(self: Rc<Operators>) {
+        let mut learned_at = self.core.clock.now();
         loop {
             self.read().await;
             self.tell_ready().await;
+            if self.core.clock.now() >= learned_at + LEARNED_AGAIN {
+                learned_at = self.core.clock.now();
+                self.write_learned().await;
+            }
             Timer::after(READ_AGAIN).await;
         }
     }
@@ -74,32 +90,61 @@
     /// Reads what the other processes say, beside this thread: a busy disk holds up whoever asks it.
     async fn read(&self) {
         let Some(glass) = self.pages.borrow().glass() else { return };
-        let dead = self.take(unblock(|| glass.look()).await);
+        let dead = self.take(unblock(|| glass.look()).await).dead;
         if !dead.is_empty() && self.write().await {
             unblock(move || dead.iter().for_each(|path| _ = std::fs::remove_file(path))).await;
         }
     }
 
-    /// The same once more as this process ends, if the disk allows it soon.
+    /// The same once more as this process ends, if the disk allows it soon; and it leaves behind what it has learned.
     pub async fn read_soon(&self) {
         within(LAST_LOOK, self.read()).await;
+        within(LAST_LOOK, self.write_learned()).await;
+    }
+
+    /// Takes up what a process before this one has learned, if that still means the same.
+    fn carry(&self, learned: Learned) -> bool {
+        let mut book = self.core.book.borrow_mut();
+        if !learned.holds(book.terms(), self.core.clock.now()) {
+            return false;
+        }
+        let of = |(id, [born, size, part, room]): (String, [u64; 4])| policy::Learned {
+            id,
+            born,
+            size,
+            part,
+            room,
+        };
+        book.carry(learned.bounded().caches.into_iter().map(of).collect())
+    }
+
+    /// Writes down what was learned of the caches, where that is anything.
+    async fn write_learned(&self) {
+        let (at, book) = (self.core.clock.now(), &self.core.book);
+        let (terms, learned) = (book.borrow().terms(), book.borrow().learned());
+        let caches = learned.into_iter().map(|l| (l.id, [l.born, l.size, l.part, l.room])).collect();
+        let learned = Learned { at, terms, caches }.bounded();
+        if !learned.caches.is_empty() {
+            self.pages.borrow_mut().own.learned = learned;
+            self.write().await;
+        }
     }
 
-    /// Takes what the other processes say, and returns the files that are done with.
-    fn take(&self, seen: Vec<Seen>) -> Vec<std::path::PathBuf> {
+    /// Takes what the other processes say.
+    fn take(&self, seen: Vec<Seen>) -> News {
         let core = &self.core;
         let news = self.pages.borrow_mut().take(seen, &core.log);
         core.life.succeed(news.succeeded);
         self.share(news.company);
-        for id in news.caches {
-            let word = self.pages.borrow().own.word(&id);
-            flow::bar(core, &id, word.out, word.at);
+        for id in &news.caches {
+            let word = self.pages.borrow().own.word(id);
+            flow::bar(core, id, word.out, word.at);
         }
         if news.service {
             let service = self.pages.borrow().own.service;
             core.life.put_out(service.out.then_some(service.at));
         }
-        news.dead
+        news
     }
 
     /// Descriptors are one proxy's, whatever processes it has: half of them is the other's while there is one.
--- a/crates/proxy/src/pages.rs
+++ b/crates/proxy/src/pages.rs
@@ -1,6 +1,6 @@
 //! The files by which the processes of one proxy tell each other what `handover` has: one of its own a process, in `$TMPDIR`.
 
-use chalkwalk_handover::{LONGEST, Page, Tenths};
+use chalkwalk_handover::{LONGEST, Learned, Page, Tenths};
 use slog::{Logger, warn};
 use std::collections::HashSet;
 use std::fs;
@@ -22,6 +22,8 @@
     pub caches: Vec<String>,
     pub service: bool,
     pub succeeded: bool,
+    /// What another process has learned, by the latest word.
+    pub learned: Learned,
     /// Another process of this proxy is alive.
     pub company: bool,
     /// Files of processes that are gone: what they said is in the own page by now.
@@ -69,6 +71,9 @@
                     let (caches, service) = self.own.merge(&other);
                     news.caches.extend(caches);
                     news.service |= service;
+                    if other.learned.at > news.learned.at {
+                        news.learned = other.learned.clone();
+                    }
                     if alive {
                         news.company = true;
                         news.succeeded |= self.own.succeeded_by(&other);
--- a/crates/proxy/tests/sockets/operators.rs
+++ b/crates/proxy/tests/sockets/operators.rs
@@ -416,3 +416,58 @@
     std::fs::read(&pipe).unwrap();
     assert_eq!(process.call("GET", "/control/ready"), "200");
 }
+
+/// The first lookups after a switch, with what the process before learned, without it, and with that spoilt: none is lost, a
+/// cache that turns all away is asked less where that was learned, the draining one not at all, and the cold one little.
+#[test]
+fn the_first_seconds_after_a_switch_keep_every_rule_with_learned_figures_or_without() {
+    const FULL: &str = "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+    let names = ["amber", "birch", "cedar", "delta"];
+    let (told, mut lines) = (Told::default(), Vec::new());
+    for name in names {
+        let (listener, addr) = a_listener();
+        lines.push(line(name, addr, if name == "cedar" { "DRAINING" } else { "SERVING" }));
+        stand_in(listener, told.clone(), name, if name == "birch" { |_| (FULL, false) } else { held });
+    }
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    lines[3]["started_ms"] = json!(now.as_millis() as u64);
+    let mut held = Held::new("switch", &lines);
+    held.configuration["settings"]["rules"] =
+        json!({"drainGraceNs": 1_000_000_000, "coldNs": 60_000_000_000u64, "startCapacity": 0.12});
+    let day = |process: &Process, first: usize| {
+        process.wait_ready();
+        told.0.lock().unwrap().clear();
+        let mut client = held.connect();
+        let answers: Vec<String> = (first..first + 40).map(|i| ask(&mut client, &format!("k{i}"))).collect();
+        let seen = told.0.lock().unwrap().join("\n");
+        // An answer is 200, or 503 where the budget of further shots is spent.
+        let lost = answers.iter().filter(|a| !["200", "503"].contains(&a.as_str())).count();
+        assert!(answers.iter().filter(|a| *a == "200").count() >= 30, "{answers:?}");
+        (lost, names.map(|name| seen.matches(&format!("{name}: GET")).count()))
+    };
+    let files = || {
+        let all = std::fs::read_dir(&held.folder).unwrap().flatten().map(|f| f.path());
+        all.filter(|f| f.extension().is_some_and(|e| e == "handover")).collect::<Vec<_>>()
+    };
+    let mut old = held.start();
+    let before = day(&old, 0);
+    old.signal("-TERM");
+    old.child.wait().unwrap();
+    let kept: Vec<(PathBuf, String)> =
+        files().into_iter().map(|f| (f.clone(), std::fs::read_to_string(f).unwrap())).collect();
+    let days = ["carried", "spoilt", "none"].map(|how| {
+        files().iter().for_each(|f| std::fs::remove_file(f).unwrap());
+        for (file, text) in kept.iter().filter(|_| how != "none") {
+            let text = if how == "spoilt" { text.replace("birch", "bixch") } else { text.clone() };
+            std::fs::write(file, text).unwrap();
+        }
+        day(&held.start(), 0)
+    });
+    let [carried, spoilt, none] = days;
+    for (lost, [_, _, draining, cold]) in [before, carried, spoilt, none] {
+        assert_eq!((lost, draining), (0, 0));
+        assert!(cold <= 15, "{cold} to the cold one");
+    }
+    let birch = [carried, spoilt, none].map(|(_, seen)| seen[1]);
+    assert!(birch[0] * 2 <= birch[1] && birch[1] == birch[2], "{birch:?} to the full one");
+}
