--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,7 +1,7 @@
 //! Every decision of chalkwalk stands in this file; `plain.rs` holds the types it is called with.
 //!
 //! One `Router` is one proxy. Set its clock, hand it lists of caches, and each lookup with `take`: its handle
-//! takes `route(..)` once, then what happens to it. What it wants leaves by the `Carrier`. Same calls, same ways.
+//! takes `route(..)` once, then what happens. What it wants leaves by the `Carrier`. Same calls, same ways.
 
 use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Line, Lkp, Lookup};
 use crate::plain::{Learned, Shot, Standing, Tally, Tenths, leaning, mixed, point};
@@ -106,7 +106,7 @@
                 self.kept[0].clear();
             }
             self.links = self.links.map(|most| (most + 25).min(1 << 30));
-            self.pooled -= self.pooled.div_ceil(100); // let go within two minutes
+            self.pooled -= self.pooled.div_ceil(16); // let go within half a minute
             for c in &mut self.caches {
                 if c.credit < 1000 {
                     c.credit += self.house.cold_floor(); // or a fleet all cold would stay so
@@ -289,8 +289,8 @@
             && self.harmless(l, Some(cache), self.now)
     }
 
-    /// Walks a ring from the key's point, passing caches at the cap, left, silent or too cold. Care 2 keeps to
-    /// a cache's room, care 1 to 3/2 of it; care 0 asks a silent one too, or a left one where none is trusted.
+    /// Walks a ring from the key's point, passing caches at the cap, left, silent or too cold. Care 2 keeps
+    /// to a room, care 1 to 3/2 of it; care 0 asks a silent one too, or a left one where none is trusted.
     fn walk(&self, ring: usize, l: &Lookup, care: u32) -> Option<Cache> {
         let ring = if l.order.is_some() { &[][..] } else { &self.rings[ring][..] };
         let mut zone: Vec<Cache> = l.order.iter().flatten().copied().filter(|c| self.ready(*c)).collect();
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -377,7 +377,7 @@
     let after = of_birch(&mut h);
     expect!["120 deferred, 0 then 110 away"]
         .assert_eq(&format!("{deferred} deferred, {before} then {after} away"));
-    (0..150).for_each(|_| h.pass(10_000));
+    (0..60).for_each(|_| h.pass(10_000));
     expect!["0"].assert_eq(&of_birch(&mut h).to_string());
 }
 
