--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -284,7 +284,7 @@
     pub stay: Tenths,   // how long it is left alone next
     pub lately: Tenths, // what its answers took, the last counting most
     pub refusals: u64,  // as full, since an answer
-    pub seldom: bool,   // it had answered nothing for a twentieth of a second before its last
+    pub seldom: bool,   // it had answered nothing for a fifth of a second before its last
     pub room: u64,      // hundredths of a shot that it takes at once without being late
     pub credit: u64,    // while it is cold: thousandths of a shot that it may still be sent
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -685,7 +685,7 @@
             (s.cache, s.sent, s.company, s.fresh, s.begun, s.opens);
         let c = &mut router.caches[cache];
         let silent = c.owes_since <= sent;
-        c.seldom = router.now > c.answered + SECOND / 20;
+        c.seldom = router.now > c.answered + SECOND / 5;
         (c.out, c.flows) = (c.out - 1, c.flows - u64::from(begun));
         if matches!(ending, Ending::Resolved | Ending::Miss | Ending::Error | Ending::Full | Ending::Wrong) {
             (c.owes_since, c.answered, c.hushed) = (router.now, router.now, false);
