--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -61,9 +61,6 @@
     fn probe(&mut self, cache: Cache) {
         self.actions.push(json!({"kind": "POLL", "node": self.caches.names[cache]}));
     }
-    fn give_back(&mut self, cache: Cache) {
-        self.actions.push(json!({"kind": "DISCONNECT", "node": self.caches.names[cache]}));
-    }
     fn wake(&mut self, token: u64, after: Tenths) {
         self.actions.push(json!({"kind": "REMIND", "name": token, "offsetNs": after * NS_PER_TENTH}));
     }
--- a/crates/capture/src/record.rs
+++ b/crates/capture/src/record.rs
@@ -86,14 +86,32 @@
 /// What the module wanted done.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Done {
-    Shoot { lkp: u64, cache: Cache, until: Tenths, by: Tenths },
-    Withdraw { lkp: u64, shot: usize },
-    Defer { lkp: u64, back_in: Tenths },
+    Shoot {
+        lkp: u64,
+        cache: Cache,
+        until: Tenths,
+        by: Tenths,
+    },
+    Withdraw {
+        lkp: u64,
+        shot: usize,
+    },
+    Defer {
+        lkp: u64,
+        back_in: Tenths,
+    },
     Abandon(u64),
     Probe(Cache),
-    Wake { token: u64, after: Tenths },
+    Wake {
+        token: u64,
+        after: Tenths,
+    },
     Watch,
-    Log { event: String, cache: String },
+    Log {
+        event: String,
+        cache: String,
+    },
+    /// In captures of versions before the move: connections are not given back since.
     GiveBack(Cache),
 }
 
--- a/crates/capture/src/replay.rs
+++ b/crates/capture/src/replay.rs
@@ -25,9 +25,6 @@
     fn probe(&mut self, cache: Cache) {
         self.0.push(Done::Probe(cache));
     }
-    fn give_back(&mut self, cache: Cache) {
-        self.0.push(Done::GiveBack(cache));
-    }
     fn wake(&mut self, token: u64, after: Tenths) {
         self.0.push(Done::Wake { token, after });
     }
--- a/crates/capture/tests/replay.rs
+++ b/crates/capture/tests/replay.rs
@@ -39,9 +39,6 @@
         self.tape.done(Done::Probe(cache));
         self.wakes.push((self.now + 100, u64::MAX - cache as u64));
     }
-    fn give_back(&mut self, cache: Cache) {
-        self.tape.done(Done::GiveBack(cache));
-    }
     fn wake(&mut self, token: u64, after: Tenths) {
         self.tape.done(Done::Wake { token, after });
         self.wakes.push((self.now + after, token));
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -45,7 +45,6 @@
 pub enum Note {
     Shoot(Shooting),
     Probe(Cache),
-    GiveBack(Cache),
 }
 
 /// A shot to be written: given up at `until`, and not written at all where that would be later than `by`.
@@ -125,10 +124,6 @@
         self.done(|| Done::Probe(cache));
         self.notes.push(Note::Probe(cache));
     }
-    fn give_back(&mut self, cache: Cache) {
-        self.done(|| Done::GiveBack(cache));
-        self.notes.push(Note::GiveBack(cache));
-    }
     fn wake(&mut self, token: u64, after: Tenths) {
         self.done(|| Done::Wake { token, after });
         let due = self.now + after;
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -28,7 +28,6 @@
         match note {
             Note::Shoot(shooting) => core.ex.spawn(send(core.clone(), shooting)).detach(),
             Note::Probe(cache) => core.ex.spawn(probe(core.clone(), cache)).detach(),
-            Note::GiveBack(cache) => core.pool.forget(cache),
         }
     }
     said
--- a/crates/policy/src/plain.rs
+++ b/crates/policy/src/plain.rs
@@ -297,8 +297,6 @@
     fn defer(&mut self, lkp: Lkp, back_in: Tenths);
     fn abandon(&mut self, lkp: Lkp);
     fn probe(&mut self, cache: Cache);
-    /// Connections to it that are idle now are closed.
-    fn give_back(&mut self, cache: Cache);
     fn wake(&mut self, token: u64, after: Tenths);
     fn watch(&mut self);
     /// A change of state, and the cache that it is of, or none.
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -22,7 +22,6 @@
     fn defer(&mut self, _: Lkp, _: Tenths) {}
     fn abandon(&mut self, _: Lkp) {}
     fn probe(&mut self, _: Cache) {}
-    fn give_back(&mut self, _: Cache) {}
     fn wake(&mut self, token: u64, after: Tenths) {
         assert_eq!(token, WATCH);
         self.wakes.push(self.now + after);
--- a/crates/policy/tests/helper/mod.rs
+++ b/crates/policy/tests/helper/mod.rs
@@ -36,9 +36,6 @@
     fn probe(&mut self, cache: Cache) {
         self.line(format!("probe cache {cache}"));
     }
-    fn give_back(&mut self, cache: Cache) {
-        self.line(format!("gives back idle connections to cache {cache}"));
-    }
     fn wake(&mut self, token: u64, after: Tenths) {
         if token >= 1 << 61 {
             self.line(format!("wake in {} ms", after / 10));
