--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -242,10 +242,10 @@
     }
 
     /// A cold cache stands on the ring with the stated share of its keys only, the same keys at every proxy
-    /// and more by and by, and for none that others pass. Guards one that comes back, and the origin.
-    fn warm_enough(&self, cache: Cache, l: &Lookup, first: Option<Cache>) -> bool {
+    /// and more by and by, and none passed for a part. Guards one that comes back, and the origin.
+    fn warm_enough(&self, cache: Cache, l: &Lookup, early: &[Cache]) -> bool {
         let warmth = self.warmth(cache);
-        let its_share = l.order.is_some() || (first == Some(cache) && mixed(l.key) % 1000 < warmth);
+        let its_share = l.order.is_some() || (early.contains(&cache) && mixed(l.key) % 1000 < warmth);
         warmth == 1000 || (its_share && self.caches[cache].credit >= 1000)
     }
 
@@ -311,7 +311,7 @@
         let its_part = |c: &Known| care < 2 || (by_size(c) && mixed(l.key ^ self.salt) % 1000 < c.part);
         // Guards against taking a trouble behind all caches (link, origin) for one of each of them.
         let none_trusted = care == 0 && (0..self.caches.len()).all(|c| !self.ready(c) || self.caches[c].left);
-        let first = zone.first().copied();
+        let early: Vec<Cache> = zone.iter().copied().take_while(|c| its_part(&self.caches[*c])).collect();
         let may_open = [0, 1].map(|place| self.linked(place) * 100 + 100 <= self.links[place]);
         let may_be_asked = |cache: &Cache| {
             let (cache, c) = (*cache, &self.caches[*cache]);
@@ -321,7 +321,7 @@
                 && (c.linked || may_open[usize::from(c.zone != self.house.zone)])
                 && !l.shots.iter().any(|s| s.cache == cache && (s.bad || s.out))
                 && (care == 2 || c.held.1 <= 300 + l.luck * 6)
-                && self.warm_enough(cache, l, first)
+                && self.warm_enough(cache, l, &early)
                 && its_part(c)
                 && c.out * 100 + l.luck < if care == 2 { c.room } else { c.room * 3 / 2 }
                 && self.may_shoot(l, cache)
