A handover time beyond all sense overflows nothing; a constant's pace is told

Cause, by reading: at + 60 s overflowed for the largest number, in a file whose checksum is right. Test: an absurd time does not hold (it panics without the change).

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -56,7 +56,9 @@
     /// Whether it may be taken up by a process with these terms. What was written down later than now is of a clock that
     /// was set back, and as old as any.
     pub fn holds(&self, terms: u64, now: Tenths) -> bool {
-        self.terms == terms && !self.caches.is_empty() && (self.at..self.at + FRESH).contains(&now)
+        self.terms == terms
+            && !self.caches.is_empty()
+            && (self.at..self.at.saturating_add(FRESH)).contains(&now)
     }
 }
 
--- a/crates/handover/tests/pages.rs
+++ b/crates/handover/tests/pages.rs
@@ -86,6 +86,8 @@
     let holds = [(7, 10_000), (7, 609_999), (7, 610_000), (7, 9_999), (8, 10_000)];
     let holds = holds.map(|(terms, now)| learned.holds(terms, now));
     assert_eq!((learned.caches.len(), holds), (2000, [true, true, false, false, false]));
+    let absurd = Learned { at: u64::MAX, ..learned.clone() };
+    assert!(!absurd.holds(7, 10_000));
     let long = Learned { caches: [("x".repeat(65), [0; 4])].into(), ..learned };
     assert!(!long.bounded().holds(7, 10_000));
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -111,7 +111,7 @@
                 if c.credit < 1000 {
                     c.credit += self.house.cold_floor(); // or a fleet all cold would stay so
                 }
-                (c.part, c.held.1) = ((c.part + 5).min(1000), c.held.1 - c.held.1 / 8);
+                (c.part, c.held.1) = ((c.part + 5).min(1000), c.held.1 - c.held.1 / 8); // in minutes
                 c.lately -= c.lately / 8; // so that a cache nobody asks is asked again
                 c.stay -= if c.left { 0 } else { c.stay / 8 };
             }
