--- /dev/null
+++ b/crates/proxy/tests/discovery_outage.rs
@@ -0,0 +1,329 @@
+//! A fleet of proxy processes whose discovery service fails and returns, with a server that begins to drain in the very
+//! moment of the return.
+//!
+//! Whatever was allowed after the failed calls, the drain counts as told to every process 6 s after discovery had it and
+//! could be reached; from then on the grace runs, and after it nothing new may reach the draining server.
+
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+const PROCESSES: usize = 16;
+/// Long enough for a rest that doubles with each failure to be at its longest.
+const OUTAGE: Duration = Duration::from_secs(21);
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD_BY: Duration = Duration::from_secs(6);
+const GRACE: Duration = Duration::from_secs(1);
+/// What a loaded machine may add between a proxy's write and the stand-in's read.
+const SLACK: Duration = Duration::from_millis(200);
+const BETWEEN_REQUESTS: Duration = Duration::from_millis(40);
+const SERVERS: [&str; 3] = ["draining", "steady-1", "steady-2"];
+
+/// How discovery fails.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Outage {
+    /// Nothing listens.
+    Refuses,
+    /// Connections are accepted and reset.
+    Resets,
+    /// Calls are answered 503 at once.
+    Unavailable,
+    /// Calls are read and never answered.
+    Silent,
+    /// The head and a part of the body come, and nothing more.
+    HalfAnswer,
+}
+
+/// The service's state, which the stand-ins of all processes share.
+struct Discovery {
+    outage: Outage,
+    down: AtomicBool,
+    returned: Mutex<Option<Instant>>,
+    /// When each process was first answered after the return, by its number.
+    answered: Mutex<Vec<Option<Instant>>>,
+}
+
+impl Discovery {
+    fn is_down(&self) -> bool {
+        self.down.load(Ordering::SeqCst)
+    }
+
+    /// Version 2 has the drain.
+    fn version(&self) -> u64 {
+        1 + u64::from(self.returned.lock().unwrap().is_some())
+    }
+}
+
+/// Reads one message without a body; `None` at the end of the connection.
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let (mut seen, mut buffer) = (Vec::new(), [0; 4096]);
+    while !seen.windows(4).any(|end| end == b"\r\n\r\n") {
+        match stream.read(&mut buffer) {
+            Ok(count @ 1..) => seen.extend(&buffer[..count]),
+            _ => return None,
+        }
+    }
+    Some(String::from_utf8_lossy(&seen).to_string())
+}
+
+fn query(head: &str, name: &str) -> Option<u64> {
+    let target = head.split_whitespace().nth(1)?;
+    let found = target.split(['?', '&']).find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
+    found?.parse().ok()
+}
+
+fn server_list(servers: &[SocketAddr], version: u64) -> String {
+    let line = |(i, addr): (usize, &SocketAddr)| {
+        let state = if i == 0 && version > 1 { "DRAINING" } else { "SERVING" };
+        json!({"id": SERVERS[i], "addr": addr.to_string(), "zone": "here", "kind": "cache", "state": state})
+    };
+    let lines: Vec<Value> = servers.iter().enumerate().map(line).collect();
+    json!({"version": version, "full": true, "servers": lines}).to_string()
+}
+
+/// Answers one call, or fails it as the outage has it; whether the connection goes on.
+fn answer_call(
+    discovery: &Discovery,
+    process: usize,
+    servers: &[SocketAddr],
+    stream: &mut TcpStream,
+) -> bool {
+    let Some(head) = read_head(stream) else { return false };
+    if let Some(index) = query(&head, "index") {
+        let wait = Duration::from_millis(query(&head, "wait").unwrap_or(0));
+        let end = Instant::now() + wait;
+        while index >= discovery.version() && Instant::now() < end && !discovery.is_down() {
+            sleep(Duration::from_millis(5));
+        }
+    }
+    let version = discovery.version();
+    let body = server_list(servers, version);
+    let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    if !discovery.is_down() {
+        let written = stream.write_all(whole.as_bytes()).is_ok();
+        if written && version > 1 {
+            discovery.answered.lock().unwrap()[process].get_or_insert_with(Instant::now);
+        }
+        return written;
+    }
+    match discovery.outage {
+        Outage::Refuses | Outage::Resets => false,
+        Outage::Unavailable => {
+            stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").is_ok()
+        }
+        Outage::Silent => read_head(stream).is_some(),
+        Outage::HalfAnswer => {
+            _ = stream.write_all(&whole.as_bytes()[..whole.len() / 2]);
+            read_head(stream).is_some()
+        }
+    }
+}
+
+/// The service as one process reaches it.
+fn serve_discovery(discovery: Arc<Discovery>, process: usize, servers: Arc<Vec<SocketAddr>>, at: SocketAddr) {
+    spawn(move || {
+        loop {
+            let Ok(listener) = TcpListener::bind(at) else {
+                sleep(Duration::from_millis(2));
+                continue;
+            };
+            listener.set_nonblocking(true).unwrap();
+            while !(discovery.is_down() && discovery.outage == Outage::Refuses) {
+                let Ok((mut stream, _)) = listener.accept() else {
+                    sleep(Duration::from_millis(2));
+                    continue;
+                };
+                stream.set_nonblocking(false).unwrap();
+                if discovery.is_down() && discovery.outage == Outage::Resets {
+                    // Closed over unread bytes, it is reset.
+                    _ = stream.peek(&mut [0]);
+                    continue;
+                }
+                let (discovery, servers) = (discovery.clone(), servers.clone());
+                spawn(move || while answer_call(&discovery, process, &servers, &mut stream) {});
+            }
+            drop(listener);
+            while discovery.is_down() {
+                sleep(Duration::from_millis(2));
+            }
+        }
+    });
+}
+
+/// When each process last sent to the draining server, by its number.
+type LastSends = Arc<Mutex<Vec<Option<Instant>>>>;
+
+/// A server that notes who sent to it, and turns everything away once it drains.
+fn serve_requests(discovery: Arc<Discovery>, drains: bool, last: LastSends) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (discovery, last) = (discovery.clone(), last.clone());
+            spawn(move || {
+                while let Some(head) = read_head(&mut stream) {
+                    let draining = drains && discovery.version() > 1;
+                    let process = head.lines().find_map(|line| {
+                        line.strip_prefix("X-Correlation-Id: ")?.split('x').next()?.parse::<usize>().ok()
+                    });
+                    if let Some(process) = process.filter(|_| draining) {
+                        last.lock().unwrap()[process] = Some(Instant::now());
+                    }
+                    let answer = match draining {
+                        true => "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n",
+                        false => "HTTP/1.1 200 OK\r\nX-Lookup: hit\r\nContent-Length: 5\r\n\r\nvalue",
+                    };
+                    if stream.write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// An address of this test's own; other tests use other ports on these.
+fn process_address(outage: Outage, process: usize, port: u16) -> SocketAddr {
+    let pid = std::process::id() as usize;
+    let host = 1 + outage as usize * 40 + process;
+    format!("127.{}.{}.{host}:{port}", 1 + pid % 250, pid / 250 % 250).parse().unwrap()
+}
+
+fn start_process(outage: Outage, process: usize, servers: &[SocketAddr]) -> (Child, SocketAddr) {
+    let (listen, discovery) =
+        (process_address(outage, process, 3400), process_address(outage, process, 3401));
+    let known: Value = serde_json::from_str(&server_list(servers, 1)).unwrap();
+    let configuration = json!({"name": format!("process-{process}"), "listen": listen.to_string(),
+        "discovery": discovery.to_string(), "seed": format!("{:x}", 7919 * (process + 1)),
+        "limits": {"sockets": 256}, "known": known,
+        "settings": {"az": "here", "zones": ["here"], "kinds": ["cache", "origin"], "discovery": "subscribe",
+            "familyInfo": {"mode": "through"},
+            "ceilings": {"mostShots": 4, "secondCopies": true, "connIdleNs": 30_000_000_000u64,
+                "connectTimeoutNs": 150_000_000},
+            "rules": {"drainGraceNs": GRACE.as_nanos() as u64, "askEveryNs": 10_000_000_000u64},
+            "namespaces": [{"name": "page", "idempotency": "free", "group": "all", "dedupWindowNs": 0,
+                "targetTimeNs": 500_000_000u64, "timeLimitNs": 900_000_000u64, "utility": 1.0,
+                "overdueUtility": 0.0}]}});
+    let path =
+        format!("{}/outage-{}-{outage:?}-{process}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, configuration.to_string()).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_chalkwalk"))
+        .args(["serve", "--config", &path])
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    (child, listen)
+}
+
+/// Sends requests one after the other, each with a key of its own, until told to stop.
+fn send_requests(process: usize, addr: SocketAddr, stop: Arc<AtomicBool>) {
+    spawn(move || {
+        let mut connection: Option<TcpStream> = None;
+        for number in 0.. {
+            if stop.load(Ordering::SeqCst) {
+                return;
+            }
+            sleep(BETWEEN_REQUESTS);
+            let stream = connection.take().or_else(|| TcpStream::connect(addr).ok());
+            let Some(mut stream) = stream else { continue };
+            let request = format!(
+                "GET /api/key-{number} HTTP/1.1\r\nX-Correlation-Id: {process}x{number}\r\n\
+                 X-Service-Class: page\r\nX-Time-Left: 0.8\r\n\r\n"
+            );
+            let mut buffer = [0; 4096];
+            if stream.write_all(request.as_bytes()).is_ok() && matches!(stream.read(&mut buffer), Ok(1..)) {
+                connection = Some(stream);
+            }
+        }
+    });
+}
+
+/// Ends the processes whatever becomes of the test.
+struct Processes(Vec<Child>);
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        for child in &mut self.0 {
+            _ = child.kill();
+            _ = child.wait();
+        }
+    }
+}
+
+/// Plays one outage, and requires that no process sends to the draining server after the grace.
+fn play(outage: Outage) {
+    let discovery = Arc::new(Discovery {
+        outage,
+        down: AtomicBool::new(false),
+        returned: Mutex::new(None),
+        answered: Mutex::new(vec![None; PROCESSES]),
+    });
+    let last: LastSends = Arc::new(Mutex::new(vec![None; PROCESSES]));
+    let servers: Vec<SocketAddr> =
+        (0..SERVERS.len()).map(|i| serve_requests(discovery.clone(), i == 0, last.clone())).collect();
+    let servers = Arc::new(servers);
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut processes = Processes(Vec::new());
+    for process in 0..PROCESSES {
+        serve_discovery(discovery.clone(), process, servers.clone(), process_address(outage, process, 3401));
+        let (child, addr) = start_process(outage, process, &servers);
+        processes.0.push(child);
+        send_requests(process, addr, stop.clone());
+    }
+    // First calls are spread over 3 s.
+    sleep(Duration::from_secs(4));
+    discovery.down.store(true, Ordering::SeqCst);
+    sleep(OUTAGE);
+    let returned = Instant::now();
+    *discovery.returned.lock().unwrap() = Some(returned);
+    discovery.down.store(false, Ordering::SeqCst);
+    sleep(TOLD_BY + GRACE + SLACK + Duration::from_secs(2));
+    stop.store(true, Ordering::SeqCst);
+    let after = |times: &Mutex<Vec<Option<Instant>>>| -> Vec<Option<Duration>> {
+        times.lock().unwrap().iter().map(|at| at.map(|at| at.duration_since(returned))).collect()
+    };
+    let (told, sent) = (after(&discovery.answered), after(&last));
+    assert!(sent.iter().any(Option::is_some), "nobody ever sent to the draining server: nothing is shown");
+    let late_told: Vec<_> =
+        told.iter().enumerate().filter(|(_, after)| after.is_none_or(|after| after > TOLD_BY)).collect();
+    let late_sent: Vec<_> = sent
+        .iter()
+        .enumerate()
+        .filter(|(_, after)| after.is_some_and(|after| after > TOLD_BY + GRACE + SLACK))
+        .collect();
+    assert!(
+        late_told.is_empty() && late_sent.is_empty(),
+        "{outage:?}: after the return, told late: {late_told:?}, sent to the draining server late: {late_sent:?}"
+    );
+}
+
+#[test]
+fn after_refused_connections_a_drain_is_known_in_time() {
+    play(Outage::Refuses);
+}
+
+#[test]
+fn after_reset_connections_a_drain_is_known_in_time() {
+    play(Outage::Resets);
+}
+
+#[test]
+fn after_answers_that_refuse_a_drain_is_known_in_time() {
+    play(Outage::Unavailable);
+}
+
+#[test]
+fn after_calls_without_an_answer_a_drain_is_known_in_time() {
+    play(Outage::Silent);
+}
+
+#[test]
+fn after_half_answers_a_drain_is_known_in_time() {
+    play(Outage::HalfAnswer);
+}
