--- a/crates/etcd-list/tests/machine.rs
+++ b/crates/etcd-list/tests/machine.rs
@@ -219,6 +219,30 @@
     ));
 }
 
+/// Etcd is away for 20 s. However its endpoints fail, the next attempt that can be answered begins early enough to be answered
+/// within the term for changes: an endpoint answers within a second, and an attempt that hangs is given up after two at most.
+#[test]
+fn after_an_outage_the_next_attempt_is_within_the_term() {
+    let (term, answer) = (60_000, 10_000);
+    for attempt_takes in [0, 10_000, 20_000] {
+        for seed in 0..500 {
+            let mut machine = Machine::new("/c/", 3, 1000 + seed);
+            let (mut at, mut begun) = (0, Vec::new());
+            while at < 300_000 {
+                begun.push(at);
+                let Do::Connect { after, .. } = machine.failed() else { unreachable!() };
+                at += attempt_takes + after;
+            }
+            // Etcd returns just after an attempt began that is doomed by then.
+            let longest = begun.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or(0);
+            assert!(
+                longest + answer <= term,
+                "seed {seed}, attempts take {attempt_takes}: {longest} from one attempt to the next"
+            );
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2000, rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
 
