--- a/crates/etcd-list/src/call.rs
+++ b/crates/etcd-list/src/call.rs
@@ -15,8 +15,8 @@
 
 /// To a connection that can be asked: etcd is near its clients.
 const CONNECT: Duration = Duration::from_secs(1);
-/// To a whole answer: etcd gives its own calls five seconds, and a page is small.
-const ANSWER: Duration = Duration::from_secs(3);
+/// To a whole answer: a page is small, and two endpoints that hang have to leave time for a third within the term for changes.
+const ANSWER: Duration = Duration::from_secs(2);
 /// gRPC's own bound on a message.
 const LONGEST: usize = 4 << 20;
 
--- a/crates/etcd-list/src/follow.rs
+++ b/crates/etcd-list/src/follow.rs
@@ -10,6 +10,7 @@
 use chalkwalk_membership::reconcile::Change;
 use chalkwalk_net::within;
 use chalkwalk_source::Feed;
+use slog::info;
 use smol::Timer;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -17,10 +18,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A watch is asked how far it is so often, and lost if nothing came for three times that: a drain has a second, and what is
-/// silent must not be trusted for long.
-const ASKED: Duration = Duration::from_secs(2);
-const SILENCE: Duration = Duration::from_secs(6);
+/// A watch is asked how far it is so often, and lost if nothing came for twice that and a half: with the looks a second apart it
+/// is lost 3 s after its last word, and the next endpoint has 3 s to tell what it missed.
+const ASKED: Duration = Duration::from_secs(1);
+const SILENCE: Duration = Duration::from_millis(2500);
 /// Proxies that are counted at most: more than any fleet has.
 const MOST_PROXIES: usize = 20_000;
 
@@ -59,6 +60,7 @@
             let Do::Connect { endpoint, after } = next else { return };
             Timer::after(span(after)).await;
             let addr = self.endpoints[endpoint];
+            let begun = self.feed.core.clock.now();
             let fault = match Link::open(&self.feed.core.ex, addr).await {
                 Ok(link) => self.session(link).await,
                 Err(fault) => fault,
@@ -66,7 +68,12 @@
             self.feed.lost(&format!("{addr}: {fault}"));
             let refused = self.refused.replace(false);
             let mut machine = self.machine.borrow_mut();
-            next = if refused { machine.refused() } else { machine.failed() };
+            let took = self.feed.core.clock.now() - begun;
+            next = if refused { machine.refused() } else { machine.failed(took) };
+            if let Do::Connect { endpoint, after } = &next {
+                let rest_ms = after / 10;
+                info!(self.feed.core.log, "etcd call failed"; "endpoint" => %addr, "fault" => fault, "took_ms" => took / 10, "next" => %self.endpoints[*endpoint], "rest_ms" => rest_ms);
+            }
         }
     }
 
--- a/crates/etcd-list/src/machine.rs
+++ b/crates/etcd-list/src/machine.rs
@@ -4,6 +4,7 @@
 use chalkwalk_etcd_wire::prefix_end;
 use chalkwalk_membership::MOST_LINES;
 use chalkwalk_policy::Tenths;
+use chalkwalk_policy::discovery::{FailedCall, Retry};
 
 const SECOND: Tenths = 10_000;
 /// Of keys that a whole list, or an answer in fragments, may hold: every cache, and as many proxies.
@@ -14,8 +15,11 @@
 const FIRST_SPREAD: Tenths = SECOND;
 /// After a list that was refused. Three are, so that all is known again within a second.
 const REFUSED_SPREAD: Tenths = SECOND / 4;
-/// Further waits double up to four times that, half of each by chance: a drain that nobody hears of waits as long.
-const DOUBLINGS: u32 = 2;
+/// From one endpoint to the next until each was tried: of three endpoints two may hang, two seconds each, within the term for
+/// changes.
+const NEXT_ENDPOINT_SPREAD: Tenths = SECOND / 2;
+/// No operator states how long a fleet may neither watch nor ask.
+const ANY_TIME: Tenths = Tenths::MAX;
 const CACHES: &[u8] = b"caches/";
 const PROXIES: &[u8] = b"proxies/";
 
@@ -120,17 +124,20 @@
         Do::Range { from: self.prefix.clone(), revision: 0 }
     }
 
-    /// The connection, or what was asked on it, is lost: the next endpoint, after a while.
-    pub fn failed(&mut self) -> Do {
+    /// The connection, or what was asked on it, is lost after so long: the next endpoint, after a rest that keeps the term for
+    /// changes. Once each endpoint has failed, the rest is that of every source.
+    pub fn failed(&mut self, took: Tenths) -> Do {
         self.endpoint = (self.endpoint + 1) % self.endpoints;
-        let after = match self.fails {
+        let tried = self.fails as usize;
+        let after = match tried {
             0 => self.below(FIRST_SPREAD),
-            n => {
-                let wait = FIRST_SPREAD << (n - 1).min(DOUBLINGS);
-                wait / 2 + self.below(wait)
+            n if !n.is_multiple_of(self.endpoints) => self.below(NEXT_ENDPOINT_SPREAD),
+            _ => {
+                let failed = FailedCall::after(took, 0);
+                Retry::asked(ANY_TIME).rest(failed, self.fails, |end| self.below(end))
             }
         };
-        self.fails += 1;
+        self.fails = self.fails.saturating_add(1);
         Do::Connect { endpoint: self.endpoint, after }
     }
 
