One place decides whether something may be sent, repeated, closed or started now

Change: crates/policy/src/admission.rs decides (may_send, may_repeat, may_close, may_start) and names the violations; the core asks right before the first byte, checks again after the last one and counts. New there: an attempt that would run twice is refused at its first byte as well, a probe whose server began to drain while its connection came up is not sent, and calls to discovery that begin later than the term allows are counted.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -5,6 +5,7 @@
 use crate::members::{Line, Members};
 use crate::pool::Conn;
 use chalkwalk_capture::{Done, Tape, Told};
+use chalkwalk_policy::admission::{Attempt, Refusal};
 use chalkwalk_policy::discovery::FailedCall;
 use chalkwalk_policy::{Cache, Carrier, Ending, Learned, Lkp, Router, Tenths};
 use slog::{Logger, info};
@@ -246,7 +247,7 @@
     }
 
     /// Whether a lookup has its final answer, or nobody waits for one any more.
-    pub fn is_over(&self, lkp: Lkp) -> bool {
+    fn is_over(&self, lkp: Lkp) -> bool {
         self.desk.open.get(&lkp).is_none_or(|open| open.answer.is_none())
     }
 
@@ -356,7 +357,7 @@
     pub fn listed(&mut self, now: Tenths, lines: &[Line], (whole_list, doubted): (bool, bool)) -> Vec<Cache> {
         self.desk.now = now;
         self.router.clock(now);
-        let entries = self.members.take(lines, whole_list, doubted);
+        let entries = self.members.take(now, lines, whole_list, doubted);
         if let Some(tape) = &mut self.desk.tape {
             tape.listed(now, whole_list, &entries);
         }
@@ -376,9 +377,22 @@
         self.members.place(id)
     }
 
-    /// Whether a cache gets nothing new: draining or gone, as told, or left out by operators.
-    pub fn is_off(&self, cache: Cache) -> bool {
-        self.members.is_off(cache) || self.router.is_barred(cache)
+    /// Whether an attempt may be sent now; `awaited`: whether its client is still there.
+    pub fn may_send(&self, now: Tenths, shooting: &Shooting, awaited: bool) -> Result<(), Refusal> {
+        let attempt = Attempt {
+            lookup: shooting.lkp,
+            number: shooting.shot,
+            server: shooting.cache,
+            until: shooting.until.min(shooting.by),
+            answered: self.is_over(shooting.lkp),
+            awaited,
+        };
+        self.router.may_send(&attempt, now)
+    }
+
+    /// Whether a cache may be asked anything: it is in service, and not left out by operators.
+    pub fn may_ask(&self, cache: Cache) -> bool {
+        self.router.may_ask(cache)
     }
 
     /// What was learned of the caches, for the process that comes after this one.
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -1,6 +1,8 @@
 //! One budget of descriptors for clients, shots and the pool. Idle ones go first.
 
 use chalkwalk_net::within;
+use chalkwalk_policy::Tenths;
+use chalkwalk_policy::admission::may_close;
 use smol::channel::Sender;
 use smol::future::FutureExt;
 use smol::lock::{Semaphore, SemaphoreGuardArc};
@@ -12,9 +14,6 @@
 /// Idle connections are closed one by one, and each has this moment to be gone.
 const MAKE_ROOM: Duration = Duration::from_millis(5);
 
-/// Who had an answer a moment ago may be asking again, across the close: many round trips.
-const JUST_USED: Duration = Duration::from_millis(50);
-
 /// What is open besides: standard streams, epoll, its timer and event, the signals' pair, the listener, 11 in all as
 /// counted; the list's two connections, which wait for no place; one that waits for its place, and one to spare.
 const BESIDES: usize = 15;
@@ -160,7 +159,8 @@
 
     pub fn close_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let may_go = |used: bool, since: Instant| !used || since.elapsed() > JUST_USED;
+        let may_go =
+            |used: bool, since: Instant| may_close(used, (since.elapsed().as_micros() / 100) as Tenths);
         let longest = idle.iter().find(|((used, _), (since, _))| may_go(*used, *since)).map(|(id, _)| *id);
         longest.and_then(|id| idle.remove(&id)).is_some_and(|(_, close)| close.try_send(()).is_ok())
     }
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -9,6 +9,7 @@
 use crate::members::Members;
 use crate::pool::Pool;
 use crate::rules::Rules;
+use crate::violations::{Refused, Violations};
 use chalkwalk_capture::Tape;
 use chalkwalk_net::{Room, wait_until};
 use chalkwalk_policy::Tenths;
@@ -31,8 +32,10 @@
     pub probe: Box<dyn Probe>,
     pub ex: LocalExecutor<'static>,
     pub log: Logger,
-    /// Shots that were not written, as their lookup was over by then.
-    pub(crate) withheld: Cell<u64>,
+    /// Attempts that were not written, by why not.
+    pub(crate) refused: Refused,
+    /// What must not happen, counted.
+    pub violations: Violations,
     pub(crate) sooner: Receiver<()>,
     wanted: Receiver<()>,
     clients: Cell<usize>, // their open connections
@@ -66,7 +69,8 @@
             probe,
             ex: LocalExecutor::new(),
             log,
-            withheld: Cell::new(0),
+            refused: Refused::default(),
+            violations: Violations::default(),
             sooner: sooner_told,
             wanted: wanted_told,
             clients: Cell::new(0),
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -8,9 +8,10 @@
 use crate::rules::Rules;
 use chalkwalk_limits::Table;
 use chalkwalk_net::{wait_until, within};
+use chalkwalk_policy::admission::{Refusal, Written};
 use chalkwalk_policy::discovery::FailedCall;
 use chalkwalk_policy::{Cache, Ending, Lkp, Tenths};
-use slog::info;
+use slog::{debug, info};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::future::FutureExt;
 use smol::{Async, Timer};
@@ -124,10 +125,13 @@
     }
 }
 
-/// Says how many lookups were left so far while they waited, and how many shots were withheld as their lookup was over.
+/// Says how many lookups were left so far while they waited, how many shots were withheld as their lookup was over, and how often
+/// what must not happen has happened.
 pub(crate) fn count_left(core: &Core, event: &'static str) {
     let left = core.book.borrow().left_waiting();
-    info!(core.log, "{}", event; "left_waiting" => left, "withheld" => core.withheld.get());
+    let violations = core.violations.total();
+    info!(core.log, "{}", event;
+        "left_waiting" => left, "withheld" => core.refused.over(), "violations" => violations);
 }
 
 // ---- one shot, from the connection to its ending ----
@@ -240,21 +244,14 @@
     let conn = Rc::new(connection(core, *cache, false).await?);
     // After a standstill what came in it is read first: a drain, an operator's word, a client's end.
     core.clock.hear().await;
-    // Told since the shot was decided. The grace is for what can't be helped, and how much of it is over is not known here to the
-    // moment, as the notice may have waited to be read. A shot so stopped surely has not run, and goes elsewhere.
-    if core.book.borrow().is_off(*cache) {
-        return Err(Ending::Unsent);
-    }
     // On a process that is busy the connection and the end of the time are seen in one turn, and the client's going lies unread
-    // while a connection, a place, a key's turn or a rest is over: nothing is begun for a lookup that is over by then.
+    // while a connection, a place, a key's turn or a rest is over. A shot so stopped surely has not run, and goes elsewhere.
     let now = core.clock.now();
-    if now >= *until.min(by) {
-        return Err(Ending::Unsent);
-    }
-    let over = core.book.borrow().is_over(*lkp);
-    if over || !ask.awaited() {
-        core.withheld.set(core.withheld.get() + 1);
-        if !over {
+    let may_send = core.book.borrow().may_send(now, shooting, ask.awaited());
+    if let Err(refusal) = may_send {
+        core.refused.count(refusal);
+        debug!(core.log, "attempt withheld"; "cache" => cache, "why" => ?refusal);
+        if refusal == Refusal::ClientLeft {
             client_left(core, *lkp);
         }
         return Err(Ending::Unsent);
@@ -262,6 +259,15 @@
     shaft.hold(Some(conn.clone()));
     ask.write_to(&conn.stream, until - now).await.map_err(|_| Ending::Unreachable)?;
     shaft.written.set(true);
+    let written = Written {
+        at: core.clock.now(),
+        allowed_at: now,
+        until: *until.min(by),
+        off_since: core.book.borrow().members.off_since(*cache),
+        grace: core.rules.drain_grace.get(),
+        awaited: ask.awaited(),
+    };
+    core.violations.check(&core.log, written.violation());
     Ok(conn)
 }
 
@@ -291,6 +297,9 @@
 async fn probe(core: Rc<Core>, cache: Cache) {
     let ask = async {
         let conn = connection(&core, cache, true).await.ok()?;
+        if !core.book.borrow().may_ask(cache) {
+            return None;
+        }
         let keep = core.probe.probe(&conn.stream).await?;
         if keep {
             core.pool.put(cache, conn);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod members;
 pub mod pool;
 pub mod rules;
+pub mod violations;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -8,7 +8,7 @@
 /// What the core itself needs of a cache.
 struct Row {
     addr: SocketAddr,
-    off: bool, // draining or gone, as told
+    off_since: Option<Tenths>, // draining or gone, as told
     born: Tenths,
 }
 
@@ -32,13 +32,14 @@
 
     /// The caches in service at these addresses, in that order.
     pub fn at(&self, addrs: &[SocketAddr]) -> Vec<Cache> {
-        let at = |addr: &SocketAddr| self.rows.iter().position(|row| row.addr == *addr && !row.off);
+        let at =
+            |addr: &SocketAddr| self.rows.iter().position(|row| row.addr == *addr && row.off_since.is_none());
         addrs.iter().filter_map(at).collect()
     }
 
-    /// Whether a cache is draining or gone, as told.
-    pub fn is_off(&self, cache: Cache) -> bool {
-        self.rows.get(cache).is_some_and(|row| row.off)
+    /// Since when a cache is draining or gone, as told.
+    pub fn off_since(&self, cache: Cache) -> Option<Tenths> {
+        self.rows.get(cache)?.off_since
     }
 
     /// The place of a cache, if it has one.
@@ -49,28 +50,36 @@
     /// Whether the cache of this line is in service as far as was told, and has not started since the line was true.
     pub fn serves(&self, line: &Line) -> bool {
         let row = self.place(&line.id).map(|cache| &self.rows[cache]);
-        row.is_some_and(|row| !row.off && row.born <= line.born)
+        row.is_some_and(|row| row.off_since.is_none() && row.born <= line.born)
     }
 
     /// Caches that are off.
     pub fn off(&self) -> impl Iterator<Item = Cache> {
-        self.rows.iter().enumerate().filter(|(_, row)| row.off).map(|(cache, _)| cache)
+        self.rows.iter().enumerate().filter(|(_, row)| row.off_since.is_some()).map(|(cache, _)| cache)
     }
 
     /// Takes what a list says, and returns it by index for the router. Of a doubted one a cache is not ready that was told
     /// to be off and has not started since.
-    pub fn take<'a>(&mut self, lines: &'a [Line], whole_list: bool, doubted: bool) -> Vec<Entry<'a>> {
-        let was_off: Vec<bool> = self.rows.iter().map(|row| row.off).collect();
+    pub fn take<'a>(
+        &mut self,
+        now: Tenths,
+        lines: &'a [Line],
+        whole_list: bool,
+        doubted: bool,
+    ) -> Vec<Entry<'a>> {
+        let was_off: Vec<Option<Tenths>> = self.rows.iter().map(|row| row.off_since).collect();
         if whole_list {
-            self.rows.iter_mut().for_each(|row| row.off = true);
+            self.rows.iter_mut().for_each(|row| _ = row.off_since.get_or_insert(now));
         }
         let entry = |line: &'a Line| {
             let cache = self.row(&line.id, line.addr);
             let row = &mut self.rows[cache];
-            let stays_off = doubted && was_off.get(cache) == Some(&true) && line.born <= row.born;
+            let stays_off =
+                doubted && was_off.get(cache).is_some_and(Option::is_some) && line.born <= row.born;
             let standing = if stays_off { Standing::Draining } else { line.standing };
             (row.addr, row.born) = (line.addr, line.born);
-            row.off = standing != Standing::Ready;
+            let since = was_off.get(cache).copied().flatten().unwrap_or(now);
+            row.off_since = (standing != Standing::Ready).then_some(since);
             let zone = self.zones.iter().position(|z| *z == line.zone).unwrap_or_else(|| {
                 self.zones.push(line.zone.clone());
                 self.zones.len() - 1
@@ -107,7 +116,7 @@
         }
         let cache = self.free.pop().unwrap_or(self.rows.len());
         self.index.insert(id.to_string(), cache);
-        let row = Row { addr, off: false, born: 0 };
+        let row = Row { addr, off_since: None, born: 0 };
         match self.rows.get_mut(cache) {
             Some(place) => *place = row,
             None => self.rows.push(row),
--- a/crates/http-door/src/admit.rs
+++ b/crates/http-door/src/admit.rs
@@ -6,6 +6,7 @@
 use chalkwalk_http1::Message;
 use chalkwalk_limits::Lookup as Place;
 use chalkwalk_policy::Tenths;
+use chalkwalk_policy::admission::may_start;
 use smol::Async;
 use std::net::TcpStream;
 use std::ops::Range;
@@ -75,13 +76,8 @@
     if message.body.len() as u64 > longest_body {
         return wrong(413);
     }
-    let mut expires = came + left.min(time_limit);
-    if let Some(last) = core.last_answer() {
-        expires = expires.min(last);
-    }
-    if expires <= core.clock.now() {
-        return wrong(408);
-    }
+    let expires = may_start(core.clock.now(), came + left.min(time_limit), core.last_answer());
+    let Some(expires) = expires else { return wrong(408) };
     let start = message.target.start + path.rfind('/').map_or(0, |slash| slash + 1);
     let key = start..message.target.start + path.len();
     let write = method == "PUT";
--- a/crates/http-door/src/route.rs
+++ b/crates/http-door/src/route.rs
@@ -5,6 +5,7 @@
 use chalkwalk_core::core::Core;
 use chalkwalk_core::flow;
 use chalkwalk_net::more;
+use chalkwalk_policy::admission::Violation;
 use slog::warn;
 use smol::future::FutureExt;
 use smol::{Async, Timer};
@@ -28,6 +29,7 @@
         // The router answers by then; a lookup it forgot would hold the connection for ever.
         Timer::at(core.clock.instant(expires) + OVERDUE).await;
         warn!(core.log, "a lookup without an answer");
+        core.violations.check(&core.log, Some(Violation::NoFinalAnswer));
         flow::client_left(core, lkp);
         Some(Reply::bare(500))
     };
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -8,7 +8,8 @@
 use chalkwalk_house::fields::{Object, Read, flag, list, object, size, text, text_or, whole, whole_or};
 use chalkwalk_http1::{self as http1, Answering};
 use chalkwalk_net::{quiet, within};
-use chalkwalk_policy::discovery::{FailedCall, GIVE_UP_CONNECTING};
+use chalkwalk_policy::admission::Violation;
+use chalkwalk_policy::discovery::{FailedCall, GIVE_UP_CONNECTING, called_in_time};
 use chalkwalk_policy::{Standing, Tenths};
 use serde_json::Value;
 use slog::{info, warn};
@@ -44,6 +45,8 @@
     odd: bool,
     /// Calls so far; each has its number in the log.
     calls: u64,
+    /// When the last of them began.
+    called_at: Option<Instant>,
     /// When an answer was last taken.
     heard_at: Option<Instant>,
 }
@@ -204,7 +207,7 @@
 async fn watch(core: &Rc<Core>, source: &Source, held: &mut Held, chance: &mut fastrand::Rng) -> Lost {
     let link = Cell::new(None);
     let mut older: Option<Call> = None;
-    let mut newer = Call::begin(source, &link, held, chance);
+    let mut newer = Call::begin(core, source, &link, held, chance);
     loop {
         let silent_at = newer.silent_at();
         let came = {
@@ -241,7 +244,7 @@
             }
             Came::Silent => {
                 info!(core.log, "discovery call silent, made anew"; "call" => newer.number);
-                older = Some(std::mem::replace(&mut newer, Call::begin(source, &link, held, chance)));
+                older = Some(std::mem::replace(&mut newer, Call::begin(core, source, &link, held, chance)));
                 continue;
             }
         };
@@ -255,10 +258,14 @@
             warn!(core.log, "list answer passed over"; "call" => newer.number, "fault" => fault);
             Timer::after(terms::at_once(chance)).await;
         }
-        newer = Call::begin(source, &link, held, chance);
+        newer = Call::begin(core, source, &link, held, chance);
     }
 }
 
+fn tenths(time: Duration) -> Tenths {
+    (time.as_micros() / 100) as Tenths
+}
+
 /// A call under way.
 struct Call<'a> {
     number: u64,
@@ -270,18 +277,23 @@
 
 impl<'a> Call<'a> {
     fn begin(
+        core: &Core,
         source: &'a Source,
         link: &'a Cell<Option<Async<TcpStream>>>,
         held: &mut Held,
         chance: &mut fastrand::Rng,
     ) -> Call<'a> {
         let (target, wait) = held.next_call(chance);
+        let begun = Instant::now();
         held.calls += 1;
+        let before = held.called_at.replace(begun);
+        let in_time = before.is_none_or(|before| called_in_time(tenths(begun - before)));
+        core.violations.check(&core.log, (!in_time).then_some(Violation::DiscoveryNotCalled));
         let answer = async move {
             let said = within(terms::over(wait), call(source, link, &target)).await;
             said.unwrap_or_else(|| Err(Fault::Failed("no answer in time".into())))
         };
-        Call { number: held.calls, begun: Instant::now(), wait, answer: Box::pin(answer) }
+        Call { number: held.calls, begun, wait, answer: Box::pin(answer) }
     }
 
     /// From when on it is taken for silent.
@@ -290,7 +302,6 @@
     }
 
     fn lost(&self, fault: String) -> Lost {
-        let tenths = |time: Duration| (time.as_micros() / 100) as Tenths;
         Lost { fault, failed: FailedCall::after(tenths(self.begun.elapsed()), tenths(self.wait)) }
     }
 }
@@ -328,8 +339,9 @@
     core.list_heard();
     let highest = if since.is_some() && doubted.is_none() { version } else { held.highest.max(version) };
     let odd = held.odd && !held.since;
-    let (calls, heard_at) = (held.calls, Some(Instant::now()));
-    *held = Held { version, since: true, older: 0, highest, doubted, at_once: false, odd, calls, heard_at };
+    (held.version, held.highest, held.doubted) = (version, highest, doubted);
+    (held.since, held.older, held.at_once, held.odd) = (true, 0, false, odd);
+    held.heard_at = Some(Instant::now());
     Ok(())
 }
 
--- a/crates/platform/src/terms.rs
+++ b/crates/platform/src/terms.rs
@@ -2,18 +2,13 @@
 //! adds up to, and the rests after calls that failed, are `chalkwalk_policy::discovery`'s.
 //!
 //! What a call has to tell counts as told at the latest 6 s after it fell silent, or 2 s after its wait is over where that is
-//! later. A watch waits for 4 s at most, so that the first of the two always holds: what a silent watch misses is known as
+//! later. A watch waits for 3.5 s at most, so that the first of the two always holds: what a silent watch misses is known as
 //! early as what a failed call misses.
 
 use chalkwalk_core::clock::span;
-use chalkwalk_policy::discovery::SILENT_AFTER;
+use chalkwalk_policy::discovery::{SILENT_AFTER, WATCH, WATCH_SILENT_AFTER};
 use std::time::Duration;
 
-/// The longest that a watch waits, in ms: one that has gone silent is followed by another half a second later, which may wait
-/// 2 s for its turn, within the 6 s after which a change counts as told.
-const WATCH_MS: u64 = 4_000;
-/// After its wait, a watch without an answer is taken for silent so long later.
-const AFTER_ITS_WAIT: Duration = Duration::from_millis(500);
 /// How long a call may take beside its wait. Discovery is one small service for all, and works through its calls in turn:
 /// where it is asked for more than it can do, whoever is let in waits as long as it allows. A call given up before is work
 /// done for nobody, and each of a hundred proxies asks again: so twice a turn. Another is made beside it meanwhile.
@@ -24,7 +19,8 @@
 /// How long a watch waits for news, at the longest: from three quarters of the longest on by chance. Those of a whole fleet
 /// begin together, after each change, and would all have to be answered in the same moment.
 pub fn watch(chance: &mut fastrand::Rng) -> Duration {
-    Duration::from_millis(chance.u64(WATCH_MS * 3 / 4..=WATCH_MS))
+    let most = span(WATCH).as_millis() as u64;
+    Duration::from_millis(chance.u64(most * 3 / 4..=most))
 }
 
 /// A moment after which an answer that made no sense is asked for again: well within the 200 ms for which a watch goes on
@@ -34,10 +30,9 @@
 }
 
 /// After how long a call without an answer is taken for silent, and the list asked anew beside it: so that the second is
-/// answered, even if it waits for its turn as long as it may, by the time at which what the first missed counts as told, or
-/// within half a second of it, which the grace has to cover as it covers a process that is held up.
+/// answered, even if it waits for its turn as long as it may, by the time at which what the first missed counts as told.
 pub fn silent(wait: Duration) -> Duration {
-    (wait + AFTER_ITS_WAIT).max(span(SILENT_AFTER))
+    (wait + span(WATCH_SILENT_AFTER)).max(span(SILENT_AFTER))
 }
 
 /// After how long a call without an answer is given up.
@@ -50,18 +45,15 @@
     use super::*;
     use chalkwalk_policy::discovery::{NOTIFIED_WITHIN, TURN};
 
-    /// A call begun when one counts as silent, and answered at the end of its turn, tells what the silent one missed within 6 s,
-    /// half a second of the grace aside; and no call is taken for silent before its wait is over. In ms.
+    /// A call begun when one counts as silent, and answered at the end of its turn, tells what the silent one missed within 6 s;
+    /// and no call is taken for silent before its wait is over.
     #[test]
     fn a_silent_call_is_followed_by_one_that_is_in_time() {
         let mut chance = fastrand::Rng::with_seed(7);
         let waits = (0..1000).map(|_| watch(&mut chance)).chain([Duration::ZERO]);
         for wait in waits {
             let at = silent(wait);
-            assert!(
-                wait < at && at + span(TURN) <= span(NOTIFIED_WITHIN) + AFTER_ITS_WAIT,
-                "{wait:?}: {at:?}"
-            );
+            assert!(wait < at && at + span(TURN) <= span(NOTIFIED_WITHIN), "{wait:?}: {at:?}");
             assert!(at < over(wait), "{wait:?}: given up before another is made");
         }
     }
--- a/crates/policy/src/discovery.rs
+++ b/crates/policy/src/discovery.rs
@@ -9,6 +9,8 @@
 //! | the rest after it, by whether it failed at once or was waited for | [`Retry`] |
 //! | the next call's turn at the service | [`TURN`] |
 //!
+//! So calls begin [`CALLS_APART`] at most, whatever becomes of them; that is checked at run time.
+//!
 //! A rest is as evenly spread as the term allows, not as short as it could be: all processes of a fleet lose discovery
 //! together, and meet it again together. Spread over 3 s, with 2 s in which each may wait for its turn, a service that answers
 //! the whole fleet once in 5 s refuses none of them.
@@ -27,6 +29,14 @@
 /// is made twice to a service that merely has much to do.
 pub const SILENT_AFTER: Tenths = TURN + SECOND;
 
+/// How long a watch may wait for news, at the most.
+pub const WATCH: Tenths = 3 * SECOND + SECOND / 2;
+/// So long after its wait a watch without an answer is taken for silent, and another is made beside it.
+pub const WATCH_SILENT_AFTER: Tenths = SECOND / 2;
+/// From the beginning of one call to that of the next, at the most: what a doomed one missed is told by the next, at the end of
+/// its turn at the latest.
+pub const CALLS_APART: Tenths = NOTIFIED_WITHIN - TURN;
+
 /// No failing call is repeated sooner, or calls that fail at once would spin.
 const SHORTEST_REST: Tenths = SECOND / 4;
 /// After a call that failed at once: the doomed call took no time, so the rest may take what the term has left beside a turn.
@@ -44,9 +54,15 @@
 const HEADROOM: Tenths = SECOND / 4;
 
 // The term, part by part. A call made beside a silent one needs no rest.
-const _: () = assert!(REST_AFTER_FAILURE + TURN + HEADROOM <= NOTIFIED_WITHIN);
-const _: () = assert!(GIVE_UP_CONNECTING + REST_AFTER_WAITING.1 + TURN + HEADROOM <= NOTIFIED_WITHIN);
-const _: () = assert!(SILENT_AFTER + TURN + HEADROOM <= NOTIFIED_WITHIN);
+const _: () = assert!(REST_AFTER_FAILURE + HEADROOM <= CALLS_APART);
+const _: () = assert!(GIVE_UP_CONNECTING + REST_AFTER_WAITING.1 + HEADROOM <= CALLS_APART);
+const _: () = assert!(SILENT_AFTER + HEADROOM <= CALLS_APART);
+const _: () = assert!(WATCH + WATCH_SILENT_AFTER <= CALLS_APART);
+
+/// Whether a call that begins so long after the one before keeps the term. The grace of drains covers the headroom.
+pub fn called_in_time(apart: Tenths) -> bool {
+    apart <= CALLS_APART + HEADROOM
+}
 
 /// How a call ended that brought nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,5 +1,6 @@
 //! chalkwalk's decision module and the plain types it is called with.
 
+pub mod admission;
 mod asked;
 pub mod discovery;
 mod plain;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -203,8 +203,7 @@
     }
 
     fn ready(&self, cache: Cache) -> bool {
-        let c = &self.caches[cache];
-        Some(cache) != self.origin && c.standing == Standing::Ready && !self.barred.contains_key(&c.id)
+        Some(cache) != self.origin && self.may_ask(cache)
     }
 
     /// What an answer seldom takes: three times what nine in ten stay under, as a few heavy lookups together
@@ -258,19 +257,6 @@
         }
     }
 
-    /// Whether a repeat of the lookup, at that cache or (for `None`) anywhere, does no harm until `then`.
-    fn harmless(&self, l: &Lookup, cache: Option<Cache>, then: Tenths) -> bool {
-        let ns = &l.rules;
-        l.shots.iter().filter(|s| s.may_have_run).all(|s| {
-            let (ran, next) = (&self.caches[s.cache], cache.map(|c| &self.caches[c]));
-            let drops_it = match ns.group.as_str() {
-                "all" => true,
-                group => next.is_some_and(|n| n.zone == ran.zone && (group == "zone" || n.cell == ran.cell)),
-            };
-            ns.repeats == "replayable" || (ns.repeats == "tagged" && drops_it && then < s.sent + ns.window)
-        })
-    }
-
     /// How many caches of the own zone, or of others, connections are held to.
     fn linked(&self, place: usize) -> u64 {
         let there = |c: &&Known| c.linked && usize::from(c.zone != self.house.zone) == place;
@@ -280,7 +266,7 @@
     fn may_shoot(&self, l: &Lookup, cache: Cache) -> bool {
         l.shots.len() < l.rules.most_shots
             && (l.rules.second_copies || !l.out())
-            && self.harmless(l, Some(cache), self.now)
+            && self.may_repeat(l, Some(cache), self.now, None)
     }
 
     /// Walks a ring from the key's point, passing caches at the cap, left, silent or too cold. Care 2 keeps
@@ -433,7 +419,7 @@
     fn ask_origin(&mut self, lkp: Lkp, out: &mut dyn Carrier) {
         let l = &self.lookups[&lkp.0];
         let left = l.useful_until.saturating_sub(self.now);
-        let up = |o: &Cache| self.caches[*o].standing == Standing::Ready && self.may_shoot(l, *o);
+        let up = |o: &Cache| self.may_ask(*o) && self.may_shoot(l, *o);
         let Some(origin) = self.origin.filter(up) else {
             return self.give_up(lkp, out);
         };
@@ -497,7 +483,7 @@
         }
         // Half a second to one and a half, spread so that those sent away do not return together.
         let back_in = (SECOND / 2 + self.chance.below(SECOND)).min(self.house.longest_stay_away);
-        if self.harmless(&self.lookups[&lkp.0], None, self.now + back_in) {
+        if self.may_repeat(&self.lookups[&lkp.0], None, self.now + back_in, None) {
             out.defer(lkp, back_in);
         } else {
             out.abandon(lkp);
@@ -629,7 +615,7 @@
             self.move_on(lkp, false, out);
         } else if self.house.withdrawals
             && l.rules.purse.allows(self.now)
-            && self.harmless(&self.lookups[&token], None, self.now)
+            && self.may_repeat(&self.lookups[&token], None, self.now, None)
         {
             out.withdraw(lkp, i);
         }
--- /dev/null
+++ b/crates/policy/tests/admission.rs
@@ -0,0 +1,93 @@
+//! What may have gone wrong between a decision and its first byte, and that it is seen there.
+
+mod helper;
+
+use chalkwalk_policy::admission::{Attempt, Refusal, Violation, Written, may_close, may_start};
+use chalkwalk_policy::{Ending, Lkp, Standing};
+use helper::{House, house};
+
+const REPLAYABLE: usize = 0;
+const TAGGED: usize = 1;
+const SINGLE_USE: usize = 2;
+
+fn attempt(lookup: Lkp, number: usize) -> Attempt {
+    Attempt { lookup, number, server: 0, until: 20_000, answered: false, awaited: true }
+}
+
+/// One server, and a lookup whose attempt there was decided.
+fn decided(ns: usize) -> (House, Lkp) {
+    let mut house = house(&[]);
+    house.ready(&["amber"]);
+    let lookup = house.ask(ns, "k");
+    (house, lookup)
+}
+
+#[test]
+fn an_attempt_that_was_decided_may_be_sent() {
+    let (house, lookup) = decided(SINGLE_USE);
+    assert_eq!(house.router.may_send(&attempt(lookup, 0), 100), Ok(()));
+}
+
+#[test]
+fn nothing_is_sent_to_a_server_that_began_to_drain_meanwhile_or_that_operators_took_out() {
+    let (mut house, lookup) = decided(REPLAYABLE);
+    house.list(&[("amber", 0, Standing::Draining, 0)]);
+    assert_eq!(house.router.may_send(&attempt(lookup, 0), 100), Err(Refusal::ServerOff));
+    let (mut house, lookup) = decided(REPLAYABLE);
+    house.router.bar("amber", true, 50);
+    assert_eq!(house.router.may_send(&attempt(lookup, 0), 100), Err(Refusal::ServerOff));
+    assert!(!house.router.may_ask(7), "a server that nobody has named");
+}
+
+#[test]
+fn nothing_is_sent_late_or_for_a_lookup_that_is_over() {
+    let (mut house, lookup) = decided(REPLAYABLE);
+    let this = attempt(lookup, 0);
+    assert_eq!(house.router.may_send(&this, 19_999), Ok(()));
+    assert_eq!(house.router.may_send(&this, 20_000), Err(Refusal::TooLate));
+    assert_eq!(house.router.may_send(&Attempt { answered: true, ..this }, 100), Err(Refusal::Answered));
+    assert_eq!(house.router.may_send(&Attempt { awaited: false, ..this }, 100), Err(Refusal::ClientLeft));
+    house.left_by_client(lookup);
+    assert_eq!(house.router.may_send(&this, 100), Err(Refusal::Answered));
+}
+
+/// The same crossing for each effect: the first attempt may have run by the time at which the second is to be written.
+#[test]
+fn a_repeat_is_sent_only_where_its_effect_does_not_come_about_again() {
+    let sent = [REPLAYABLE, TAGGED].map(|ns| {
+        let (mut house, lookup) = decided(ns);
+        house.ready(&["amber", "birch"]);
+        house.end(lookup, 0, Ending::Broken);
+        // The window of the tagged namespace is half a second.
+        [4_999, 5_000].map(|now| house.router.may_send(&attempt(lookup, 1), now))
+    });
+    assert_eq!(sent, [[Ok(()), Ok(())], [Ok(()), Err(Refusal::MayRunTwice)]]);
+    // What was decided as a single attempt is still out when a second asks.
+    let (house, lookup) = decided(SINGLE_USE);
+    assert_eq!(house.router.may_send(&attempt(lookup, 1), 100), Err(Refusal::MayRunTwice));
+}
+
+#[test]
+fn what_must_not_have_happened_by_a_write_is_named() {
+    let good =
+        Written { at: 1000, allowed_at: 990, until: 1000, off_since: Some(500), grace: 500, awaited: false };
+    assert_eq!(good.violation(), None);
+    let found = |written: Written| written.violation();
+    assert_eq!(found(Written { grace: 499, ..good }), Some(Violation::SentAfterGrace));
+    assert_eq!(found(Written { until: 999, ..good }), Some(Violation::SentTooLate));
+    let held_up = Written { at: 2001, allowed_at: 1000, until: 9000, off_since: None, ..good };
+    assert_eq!(found(held_up), Some(Violation::SentAfterClientLeft));
+    assert_eq!(found(Written { awaited: true, ..held_up }), None);
+}
+
+#[test]
+fn a_connection_is_closed_for_others_unless_it_was_just_used_and_a_late_request_is_not_started() {
+    assert_eq!(
+        [(false, 0), (true, 500), (true, 501)].map(|(used, idle)| may_close(used, idle)),
+        [true, false, true]
+    );
+    assert_eq!(may_start(100, 200, None), Some(200));
+    assert_eq!(may_start(100, 200, Some(150)), Some(150));
+    assert_eq!(may_start(100, 200, Some(100)), None);
+    assert_eq!(may_start(200, 200, None), None);
+}
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -1072,7 +1072,7 @@
         serving of "p": at_ms event level listen proxy
         discovery call failed of "p": at_ms call event fault level proxy unheard_ms version waited
         leaving of "p": at_ms event level open proxy succeeded
-        ended of "p": at_ms event left_waiting level proxy withheld
+        ended of "p": at_ms event left_waiting level proxy violations withheld
     "#]]
     .assert_eq(&["serving", "discovery call failed", "leaving", "ended"].map(seen).concat());
 }
--- a/crates/resp-door/src/clients.rs
+++ b/crates/resp-door/src/clients.rs
@@ -14,6 +14,7 @@
 use chalkwalk_limits::Lookup as Place;
 use chalkwalk_net::{more, within, write_all};
 use chalkwalk_policy::Lkp;
+use chalkwalk_policy::admission::may_start;
 use chalkwalk_resp::{Bounds, Fault, Frame, Kind as Type, Reader, Writer};
 use chalkwalk_slots::Way;
 use slog::warn;
@@ -428,10 +429,8 @@
             return Err("ERR the command is longer than its class allows");
         }
         let taken = core.clock.came_after();
-        let mut expires = taken + time_limit;
-        if let Some(last) = core.last_answer() {
-            expires = expires.min(last);
-        }
+        // One whose time is over is deferred by the router, at once.
+        let expires = may_start(core.clock.now(), taken + time_limit, core.last_answer()).unwrap_or(taken);
         let stale = !write && door.settings.stale.get(ns) == Some(&true);
         let command = (words.bytes.first() != Some(&b'*')).then(|| {
             let mut out = Writer::default();
