--- a/crates/benchlink/src/desk.rs
+++ b/crates/benchlink/src/desk.rs
@@ -2,7 +2,6 @@
 
 use chalkwalk_house::fields::{Object, Read, flag, list, object, size, text, text_or, whole, whole_or};
 use chalkwalk_house::{self as house, House};
-use chalkwalk_policy::discovery::FailedCall;
 use chalkwalk_policy::{Cache, Carrier, Ending, Entry, Lkp, Router, Standing, Tenths};
 use serde_json::{Value, json};
 use std::collections::HashMap;
@@ -270,7 +269,7 @@
         match scope {
             "Partial" => self.router.list_changes(&entries, pen),
             "Complete" | "Persisted" => self.router.list_whole(&entries, pen),
-            "Error" => self.router.discovery_call_failed(FailedCall::AtOnce, pen),
+            "Error" => self.router.discovery_call_failed(0, pen),
             other => return Err(format!("field scope: expected a kind of list, got \"{other}\"")),
         }
         Ok(())
--- a/crates/capture/src/record.rs
+++ b/crates/capture/src/record.rs
@@ -55,7 +55,7 @@
         whole: bool,
         lines: Vec<Line>,
     },
-    /// A call to discovery failed, in captures of versions that did not tell how.
+    /// A call to discovery failed, in captures of versions that did not tell how long it took.
     Lost,
     Left(u64),
     Limits(BTreeMap<String, String>),
@@ -82,9 +82,9 @@
         lkp: u64,
         shot: usize,
     },
-    /// A call to discovery failed, at once or after it had been waited for.
+    /// A call to discovery failed after so long.
     CallFailed {
-        waited: bool,
+        took: Tenths,
     },
 }
 
--- a/crates/capture/src/replay.rs
+++ b/crates/capture/src/replay.rs
@@ -3,7 +3,6 @@
 use crate::record::{Block, Call, Done, Item, Line, Told, ending};
 use std::collections::BTreeMap;
 
-use chalkwalk_policy::discovery::FailedCall;
 use chalkwalk_policy::{Cache, Carrier, Lkp, Router, State, Tenths};
 
 /// Notes what the module wants.
@@ -236,9 +235,8 @@
                 false => router.list_changes(&entries, out),
             }
         }
-        Told::Lost => router.discovery_call_failed(FailedCall::AtOnce, out),
-        Told::CallFailed { waited: false } => router.discovery_call_failed(FailedCall::AtOnce, out),
-        Told::CallFailed { waited: true } => router.discovery_call_failed(FailedCall::AfterWaiting, out),
+        Told::Lost => router.discovery_call_failed(0, out),
+        Told::CallFailed { took } => router.discovery_call_failed(*took, out),
         Told::Left(lkp) => Lkp(*lkp).client_left(router, out),
         Told::Limits(house) => router.limits(house),
         Told::Renewed { lkp, ns, expires } => {
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -6,7 +6,6 @@
 use crate::pool::Conn;
 use chalkwalk_capture::{Done, Tape, Told};
 use chalkwalk_policy::admission::{Attempt, Refusal};
-use chalkwalk_policy::discovery::FailedCall;
 use chalkwalk_policy::{Cache, Carrier, Ending, Learned, Lkp, Router, Tenths};
 use slog::{Logger, info};
 use smol::channel::{Receiver, Sender, bounded};
@@ -425,10 +424,10 @@
     }
 
     /// A call to discovery failed; the router will want another.
-    pub fn discovery_call_failed(&mut self, now: Tenths, failed: FailedCall) {
+    pub fn discovery_call_failed(&mut self, now: Tenths, took: Tenths) {
         let (router, desk) = self.at(now);
-        desk.told(|| Told::CallFailed { waited: failed == FailedCall::AfterWaiting });
-        router.discovery_call_failed(failed, desk);
+        desk.told(|| Told::CallFailed { took });
+        router.discovery_call_failed(took, desk);
     }
 
     /// When the router is to be woken next.
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -9,7 +9,6 @@
 use chalkwalk_limits::Table;
 use chalkwalk_net::{wait_until, within};
 use chalkwalk_policy::admission::{Refusal, Written};
-use chalkwalk_policy::discovery::FailedCall;
 use chalkwalk_policy::{Cache, Ending, Lkp, Tenths};
 use slog::{debug, info};
 use smol::channel::{Receiver, Sender, bounded};
@@ -63,9 +62,9 @@
     cache.into_iter().for_each(|cache| core.pool.forget(cache));
 }
 
-/// A call to discovery failed; the router will want another.
-pub fn discovery_call_failed(core: &Rc<Core>, failed: FailedCall) {
-    tell(core, |book, now| book.discovery_call_failed(now, failed));
+/// A call to discovery failed after so long; the router will want another.
+pub fn discovery_call_failed(core: &Rc<Core>, took: Tenths) {
+    tell(core, |book, now| book.discovery_call_failed(now, took));
 }
 
 /// So many proxies share the caches, this one included, as a source counts them.
--- a/crates/etcd-list/src/machine.rs
+++ b/crates/etcd-list/src/machine.rs
@@ -4,7 +4,7 @@
 use chalkwalk_etcd_wire::prefix_end;
 use chalkwalk_membership::MOST_LINES;
 use chalkwalk_policy::Tenths;
-use chalkwalk_policy::discovery::{FailedCall, Retry};
+use chalkwalk_policy::discovery::Retry;
 
 const SECOND: Tenths = 10_000;
 /// Of keys that a whole list, or an answer in fragments, may hold: every cache, and as many proxies.
@@ -132,10 +132,7 @@
         let after = match tried {
             0 => self.below(FIRST_SPREAD),
             n if !n.is_multiple_of(self.endpoints) => self.below(NEXT_ENDPOINT_SPREAD),
-            _ => {
-                let failed = FailedCall::after(took, 0);
-                Retry::asked(ANY_TIME).rest(failed, self.fails, |end| self.below(end))
-            }
+            _ => Retry::asked(ANY_TIME).rest(took, self.fails, |end| self.below(end)),
         };
         self.fails = self.fails.saturating_add(1);
         Do::Connect { endpoint: self.endpoint, after }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 use chalkwalk_lab::measure::Figures;
 use chalkwalk_lab::report::{page, table};
 use chalkwalk_lab::run::{self, Played};
+use chalkwalk_lab::soak::Soak;
 use pico_args::Arguments;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -14,6 +15,8 @@
 usage: chalkwalk-lab try [--proxy COMMAND]                      a small fleet with a trouble, 20 s, live
        chalkwalk-lab run FILE [--proxy COMMAND] [--json FILE] [--report DIR] [--logs DIR]
        chalkwalk-lab compare FILE --proxy A --proxy B [...] [--rounds N]
+       chalkwalk-lab soak [--seed N] [--seeds K] [--seconds S] [--proxies P] [--proxy COMMAND] [--logs DIR] [--show]
+                                                                random overlapping faults; fails where a rule breaks
        chalkwalk-lab check FILE...                              reads experiments and says what is wrong
        chalkwalk-lab fleet [--proxies N] [--caches M] [--proxy COMMAND]    stays up until a signal
        chalkwalk-lab proxy relay|random|ring [--break RULE]     a proxy to measure beside
@@ -184,6 +187,38 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Plays one seed after the other; every one has to keep the rules.
+fn soak(mut args: Arguments) -> Result<ExitCode, String> {
+    let fault = |e: pico_args::Error| e.to_string();
+    let first: u64 = args.opt_value_from_str("--seed").map_err(fault)?.unwrap_or(1);
+    let seeds: u64 = args.opt_value_from_str("--seeds").map_err(fault)?.unwrap_or(1);
+    let seconds: f64 = args.opt_value_from_str("--seconds").map_err(fault)?.unwrap_or(60.0);
+    let proxies: usize = args.opt_value_from_str("--proxies").map_err(fault)?.unwrap_or(24);
+    let command: Option<String> = args.opt_value_from_str("--proxy").map_err(fault)?;
+    let logs: Option<PathBuf> = args.opt_value_from_str("--logs").map_err(fault)?;
+    let show = args.contains("--show");
+    no_more(args)?;
+    let mut broken = Vec::new();
+    for seed in first..first + seeds.max(1) {
+        let text = Soak { seed, seconds, proxies }.text();
+        if show {
+            println!("{text}");
+            continue;
+        }
+        let experiment = Experiment::read(&text)?;
+        let logs = logs.as_ref().map(|logs| logs.join(format!("seed-{seed}")));
+        let played = played(experiment, Path::new(""), command.clone(), logs)?;
+        print!("{}", table::verdict(&played));
+        broken.extend((!played.good()).then_some(seed));
+    }
+    if broken.is_empty() {
+        println!("soak: {} seeds from {first} on, {seconds} s, {proxies} proxies: rules kept", seeds.max(1));
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("soak: rules broken on seeds {broken:?}");
+    Ok(ExitCode::from(1))
+}
+
 fn check(args: Arguments) -> Result<ExitCode, String> {
     let paths = args.finish();
     if paths.is_empty() {
@@ -252,6 +287,7 @@
             "try" => try_it(args),
             "run" => one(args),
             "compare" => compare(args),
+            "soak" => soak(args),
             "check" => check(args),
             "fleet" => stay_up(args),
             "proxy" => proxy(args),
--- a/crates/lab/src/model/course.rs
+++ b/crates/lab/src/model/course.rs
@@ -1,7 +1,7 @@
 //! What befalls each cache, the origin, the list and the links, worked out from the experiment before it is played.
 
 use crate::clock::{Micros, SECOND, micros};
-use crate::experiment::{Experiment, Kind};
+use crate::experiment::{Experiment, Kind, Outage};
 use crate::model::pace::Pace;
 use std::ops::Range;
 
@@ -68,7 +68,7 @@
     /// Zones cut off from the others.
     pub cuts: Vec<(Range<Micros>, usize)>,
     pub notices: Vec<Notice>,
-    pub list_down: Vec<Range<Micros>>,
+    pub list_down: Vec<(Range<Micros>, Outage)>,
     pub list_old: Vec<Range<Micros>>,
     /// Moments at which the calls that wait fall silent.
     pub list_silent: Vec<Micros>,
@@ -153,7 +153,7 @@
                 Kind::OriginSlow => all.origin.times(span, 1.0 / t.factor.unwrap_or(1.0)),
                 Kind::OriginFails => all.origin_fails.push((span, share)),
                 Kind::ZoneCut => all.cuts.extend(zone.map(|z| (span, z))),
-                Kind::ListDown => all.list_down.push(span),
+                Kind::ListDown => all.list_down.push((span, t.how.unwrap_or_default())),
                 Kind::ListOld => all.list_old.push(span),
                 Kind::ListSilent => all.list_silent.push(span.start),
                 Kind::ListLate => later.push((span, micros(t.by.unwrap_or(0.0)))),
@@ -216,6 +216,11 @@
         self.cuts.iter().filter(between).flat_map(|(span, _)| [span.start, span.end])
     }
 
+    /// Until when, and how, the list is down at a moment.
+    pub fn list_outage(&self, now: Micros) -> Option<(Micros, Outage)> {
+        self.list_down.iter().find(|(span, _)| span.contains(&now)).map(|(span, how)| (span.end, *how))
+    }
+
     /// The same for the origin or the list, which stand in the first zone.
     pub fn reach_first(&self, zone: usize, now: Micros) -> (Reach, Micros) {
         self.reach_zone(0, zone, now)
--- a/crates/lab/src/stand/mod.rs
+++ b/crates/lab/src/stand/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::{Clock, MILLI, Micros, micros};
 use crate::evidence::{Evidence, Id};
-use crate::experiment::{ETCD as FROM_ETCD, Experiment, RESP};
+use crate::experiment::{ETCD as FROM_ETCD, Experiment, Outage, RESP};
 use crate::model::cache::{CacheModel, Make, OriginModel};
 use crate::model::cluster::Cluster;
 use crate::model::course::{Courses, Reach};
@@ -22,6 +22,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::ops::Range;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 
@@ -171,10 +172,19 @@
             let (reach, until) = self.courses.reach_zone(endpoint % self.zones(), zone, now);
             return (reach, until.min(turn));
         }
-        match peer < self.origin() {
-            true => self.courses.reach(peer, (peer % self.zones(), zone), now),
-            false => self.courses.reach_first(zone, now),
+        if peer < self.origin() {
+            return self.courses.reach(peer, (peer % self.zones(), zone), now);
         }
+        let (reach, until) = self.courses.reach_first(zone, now);
+        if peer == self.origin() {
+            return (reach, until);
+        }
+        // The list has outages of its own in which nothing listens.
+        let refuses = |(_, how): &&(Range<Micros>, Outage)| *how == Outage::Refuses;
+        let spans = self.courses.list_down.iter().filter(refuses).map(|(span, _)| span);
+        let turn = spans.clone().flat_map(|span| [span.start, span.end]).filter(|at| *at > now).min();
+        let down = spans.clone().any(|span| span.contains(&now));
+        (if down { Reach::Refused } else { reach }, until.min(turn.unwrap_or(Micros::MAX)))
     }
 
     /// Peers beyond the origin and the list's two addresses are endpoints of etcd.
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -9,7 +9,7 @@
 use chalkwalk_http1::{self as http1, Answering};
 use chalkwalk_net::{quiet, within};
 use chalkwalk_policy::admission::Violation;
-use chalkwalk_policy::discovery::{FailedCall, GIVE_UP_CONNECTING, called_in_time};
+use chalkwalk_policy::discovery::{GIVE_UP_CONNECTING, called_in_time};
 use chalkwalk_policy::{Standing, Tenths};
 use serde_json::Value;
 use slog::{info, warn};
@@ -45,8 +45,8 @@
     odd: bool,
     /// Calls so far; each has its number in the log.
     calls: u64,
-    /// When the last of them began.
-    called_at: Option<Instant>,
+    /// When the last of them began, and how long it could wait for news.
+    called_at: Option<(Instant, Duration)>,
     /// When an answer was last taken.
     heard_at: Option<Instant>,
 }
@@ -155,7 +155,7 @@
             let over = async { Some(watch(&core, &source, &mut held, &mut chance).await) };
             let elsewhere = async {
                 let gone = source.moved.recv().await.err();
-                gone.map(|e| Lost { fault: e.to_string(), failed: FailedCall::AtOnce })
+                gone.map(|e| Lost { fault: e.to_string(), took: 0 })
             };
             if let Some(lost) = over.or(elsewhere).await {
                 break lost;
@@ -164,10 +164,10 @@
             held.moved();
         };
         core.list_had();
-        flow::discovery_call_failed(&core, lost.failed);
+        flow::discovery_call_failed(&core, lost.took);
         let unheard = held.heard_at.map(|at| at.elapsed().as_millis() as u64);
         warn!(core.log, "discovery call failed";
-            "call" => held.calls, "fault" => lost.fault, "waited" => lost.failed == FailedCall::AfterWaiting,
+            "call" => held.calls, "fault" => lost.fault, "took_ms" => lost.took / 10,
             "version" => held.version, "unheard_ms" => unheard);
     }
 }
@@ -175,7 +175,7 @@
 /// Why calls are not made one after the other any more.
 struct Lost {
     fault: String,
-    failed: FailedCall,
+    took: Tenths,
 }
 
 /// Why a call brought nothing.
@@ -286,8 +286,9 @@
         let (target, wait) = held.next_call(chance);
         let begun = Instant::now();
         held.calls += 1;
-        let before = held.called_at.replace(begun);
-        let in_time = before.is_none_or(|before| called_in_time(tenths(begun - before)));
+        let before = held.called_at.replace((begun, wait));
+        let in_time =
+            before.is_none_or(|(before, wait)| called_in_time(tenths(begun - before), tenths(wait)));
         core.violations.check(&core.log, (!in_time).then_some(Violation::DiscoveryNotCalled));
         let answer = async move {
             let said = within(terms::over(wait), call(source, link, &target)).await;
@@ -302,7 +303,7 @@
     }
 
     fn lost(&self, fault: String) -> Lost {
-        Lost { fault, failed: FailedCall::after(tenths(self.begun.elapsed()), tenths(self.wait)) }
+        Lost { fault, took: tenths(self.begun.elapsed()) }
     }
 }
 
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -3,7 +3,7 @@
 //! One `Router` is one proxy. Set its clock, hand it lists of caches, and each lookup with `take`: its handle
 //! takes `route(..)` once, then what happens. What it wants leaves by the `Carrier`. Same calls, same ways.
 
-use crate::discovery::FailedCall;
+use crate::discovery;
 use crate::plain::{Cache, Carrier, Chance, Ending, Entry, Held, HouseRules, Known, Line, Lkp, Lookup};
 use crate::plain::{Learned, Shot, Standing, Tally, Tenths, leaning, mixed, point};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -126,7 +126,8 @@
 
     pub fn list_changes(&mut self, entries: &[Entry], out: &mut dyn Carrier) {
         // The watch goes on: what changes just after an answer counts as told, asked for or not.
-        if std::mem::take(&mut self.failed_calls) > 0 {
+        let failed_calls = discovery::failures_after_answer(self.failed_calls);
+        if std::mem::replace(&mut self.failed_calls, failed_calls) > 0 {
             out.log("discovery reached again", "");
         }
         for e in entries {
@@ -192,13 +193,13 @@
         self.rings = [own, others, all];
     }
 
-    /// A call to discovery brought nothing: the next one is made after a rest, within the term for changes.
-    pub fn discovery_call_failed(&mut self, failed: FailedCall, out: &mut dyn Carrier) {
+    /// A call to discovery that took so long brought nothing: the next one is made after a rest, within the term for changes.
+    pub fn discovery_call_failed(&mut self, took: Tenths, out: &mut dyn Carrier) {
         if self.failed_calls == 0 {
             out.log("discovery lost", "");
         }
         self.failed_calls = self.failed_calls.saturating_add(1);
-        let rest = self.house.discovery_retry.rest(failed, self.failed_calls, |end| self.chance.below(end));
+        let rest = self.house.discovery_retry.rest(took, self.failed_calls, |end| self.chance.below(end));
         out.wake(WATCH_TOKEN, rest);
     }
 
