--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -2,7 +2,7 @@
 //! at a time; what the router wants is only noted, and taken up by `flow` once the call is over.
 
 use crate::answer::{Answer, Ask, Verdict};
-use crate::members::{Line, Members};
+use crate::members::{Changed, Line, Members};
 use crate::pool::Conn;
 use chalkwalk_capture::{Done, Tape, Told};
 use chalkwalk_policy::admission::{Attempt, Refusal};
@@ -352,8 +352,14 @@
         router.probed(cache, answered, desk);
     }
 
-    /// Takes what a list says. Returns the caches that are off.
-    pub fn listed(&mut self, now: Tenths, lines: &[Line], (whole_list, doubted): (bool, bool)) -> Vec<Cache> {
+    /// Takes what a list says. Returns the caches that are off, and what it has changed.
+    pub fn listed(
+        &mut self,
+        now: Tenths,
+        lines: &[Line],
+        (whole_list, doubted): (bool, bool),
+    ) -> (Vec<Cache>, Changed) {
+        let was_off: Vec<Cache> = self.members.off().collect();
         self.desk.now = now;
         self.router.clock(now);
         let entries = self.members.take(now, lines, whole_list, doubted);
@@ -364,8 +370,9 @@
             true => self.router.list_whole(&entries, &mut self.desk),
             false => self.router.list_changes(&entries, &mut self.desk),
         }
+        let changed = self.members.changed(&was_off);
         self.members.forget(&self.router);
-        self.members.off().collect()
+        (self.members.off().collect(), changed)
     }
 
     /// Operators take a cache out at that moment, or put it back; its place, if it has one.
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -3,7 +3,7 @@
 use crate::answer::{Answer, Ask, Flow, Heard, Rest};
 use crate::book::{Book, Note, Shaft, Shooting};
 use crate::core::Core;
-use crate::members::Line;
+use crate::members::{Changed, Line};
 use crate::pool::{Conn, SPARE};
 use crate::rules::Rules;
 use chalkwalk_limits::Table;
@@ -52,8 +52,20 @@
 /// A source tells what the list says: the whole of it, or what changed. A doubted one brings no cache back that was told
 /// to be off.
 pub fn listed(core: &Rc<Core>, lines: &[Line], whole_list: bool, doubted: bool) {
-    let off = tell(core, |book, now| book.listed(now, lines, (whole_list, doubted)));
+    let (off, changed) = tell(core, |book, now| book.listed(now, lines, (whole_list, doubted)));
     off.into_iter().for_each(|cache| core.pool.forget(cache));
+    if changed != Changed::default() {
+        info!(core.log, "servers changed"; "off" => named(&changed.off), "back" => named(&changed.back));
+    }
+}
+
+/// So many ids are named in a line of the log; of a first list of a large fleet all are new.
+const MOST_NAMED: usize = 8;
+
+fn named(ids: &[String]) -> String {
+    let more = ids.len().saturating_sub(MOST_NAMED);
+    let some = ids[..ids.len() - more].join(" ");
+    if more > 0 { format!("{some} and {more} more") } else { some }
 }
 
 /// Operators take a cache out at that moment, or put it back. What is idle to it is closed: it restarts meanwhile.
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -5,6 +5,15 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+/// What a list has changed, by the caches' ids in order.
+#[derive(Debug, Default, PartialEq)]
+pub struct Changed {
+    /// Draining or gone since.
+    pub off: Vec<String>,
+    /// In service since, or again.
+    pub back: Vec<String>,
+}
+
 /// What the core itself needs of a cache.
 struct Row {
     addr: SocketAddr,
@@ -42,6 +51,21 @@
         self.rows.get(cache)?.off_since
     }
 
+    /// What is off by now and was not, and the other way round, after what was off before.
+    pub fn changed(&self, was_off: &[Cache]) -> Changed {
+        let mut changed = Changed::default();
+        for (id, cache) in &self.index {
+            match (was_off.binary_search(cache).is_ok(), self.off_since(*cache).is_some()) {
+                (false, true) => changed.off.push(id.clone()),
+                (true, false) => changed.back.push(id.clone()),
+                _ => {}
+            }
+        }
+        changed.off.sort_unstable();
+        changed.back.sort_unstable();
+        changed
+    }
+
     /// The place of a cache, if it has one.
     pub fn place(&self, id: &str) -> Option<Cache> {
         self.index.get(id).copied()
--- a/crates/lab/src/stand/cache.rs
+++ b/crates/lab/src/stand/cache.rs
@@ -74,6 +74,7 @@
         };
         let cache = peer as u16;
         site.evidence.note_at(begun, id, proxy, What::Begun { cache });
+        conn.open = Some(id);
         let now = site.clock.now();
         site.evidence.note_at(now, id, proxy, What::Shot { cache, write: message.method() == "PUT" });
         let mut plan = if crowded {
@@ -86,10 +87,12 @@
             plan.at = plan.at.saturating_add(micros(world.handshake_ms / 1e3));
         }
         if !due(site, conn, &plan).await {
+            conn.open = None;
             return site.evidence.note(id, proxy, What::Cut { cache });
         }
         // Noted ahead of the write: the proxy may act on it before the write is told to be done.
         let said = site.clock.now();
+        conn.open = None;
         if !answer(site, peer, conn, id, &ask, plan).await {
             return site.evidence.note(id, proxy, What::Cut { cache });
         }
--- a/crates/lab/src/stand/list.rs
+++ b/crates/lab/src/stand/list.rs
@@ -26,14 +26,14 @@
     loop {
         let call = match told {
             None => conn.question().await,
-            Some((version, at)) => {
+            Some(answer) => {
                 let goes_on = async {
-                    going_on(site, proxy, version, at).await;
+                    going_on(site, proxy, answer).await;
                     std::future::pending().await
                 };
                 let call = or(conn.question(), goes_on).await;
                 if call.is_err() {
-                    going_on(site, proxy, version, at).await;
+                    going_on(site, proxy, answer).await;
                 }
                 call
             }
@@ -89,7 +89,7 @@
             }
         }
         let Some(version) = tell(site, proxy, conn, now, index).await else { return };
-        told = index.map(|_| (version, site.clock.now()));
+        told = index.map(|_| Told { version, called: now, answered: site.clock.now() });
     }
 }
 
@@ -139,13 +139,22 @@
     std::future::pending().await
 }
 
-/// After a watch's answer at that moment, of that version: what changes while it goes on counts as told.
-async fn going_on(site: &Site, proxy: usize, version: u64, answered: Micros) {
-    let mut at = version;
-    while let Some(change) = site.listing.next(at).filter(|change| *change <= answered + GOES_ON) {
+/// A watch's answer.
+#[derive(Clone, Copy)]
+struct Told {
+    version: u64,
+    called: Micros,
+    answered: Micros,
+}
+
+/// After a watch's answer: what changes while the watch goes on counts as told, to the process that called. One that was killed
+/// between its call and the answer was told nothing by it, and neither is the process that was started after it.
+async fn going_on(site: &Site, proxy: usize, told: Told) {
+    let mut at = told.version;
+    while let Some(change) = site.listing.next(at).filter(|change| *change <= told.answered + GOES_ON) {
         site.clock.reach(change).await;
         let next = site.listing.version(change);
-        count(site, proxy, answered, &site.listing.since(at, next), change);
+        count(site, proxy, told.called, &site.listing.since(at, next), change);
         at = next;
     }
 }
--- a/crates/lab/src/stand/mod.rs
+++ b/crates/lab/src/stand/mod.rs
@@ -8,7 +8,7 @@
 pub mod resp;
 
 use crate::clock::{Clock, MILLI, Micros, micros};
-use crate::evidence::{Evidence, Id};
+use crate::evidence::{Evidence, Id, What};
 use crate::experiment::{ETCD as FROM_ETCD, Experiment, Outage, RESP};
 use crate::model::cache::{CacheModel, Make, OriginModel};
 use crate::model::cluster::Cluster;
@@ -324,11 +324,33 @@
     if !smol::future::or(served, gone).await {
         return;
     }
-    // Open and silent, until whoever was away is back and knows nothing of it.
+    // Open and silent, until whoever was away is back and knows nothing of it. A shot that is open ends with the connection,
+    // whichever side ends it.
+    let cut = |id: Option<Id>| {
+        id.into_iter().for_each(|id| site.evidence.note(id, proxy, What::Cut { cache: peer as u16 }));
+    };
     loop {
         match site.reach(peer, proxy) {
-            (Reach::Silent, until) => over(&site.clock, until).await,
-            _ => return conn.reset(),
+            (Reach::Silent, until) => {
+                let closed = async {
+                    match conn.open {
+                        Some(_) => conn.closed().await,
+                        None => std::future::pending().await,
+                    }
+                    true
+                };
+                let returned = async {
+                    over(&site.clock, until).await;
+                    false
+                };
+                if smol::future::or(closed, returned).await {
+                    cut(conn.open.take());
+                }
+            }
+            _ => {
+                cut(conn.open.take());
+                return conn.reset();
+            }
         }
     }
 }
--- a/crates/lab/src/wire.rs
+++ b/crates/lab/src/wire.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 framing for stand-ins, clients and the baselines: bodies by length only, as all of them write it. It is the
 //! lab's own, so that a fault in the proxy's framing cannot hide itself.
 
+use crate::evidence::Id;
 use smol::Async;
 use std::io::{self, IoSlice, Read, Write};
 use std::net::TcpStream;
@@ -101,12 +102,14 @@
 pub struct Conn {
     pub stream: Async<TcpStream>,
     pub ahead: Vec<u8>,
+    /// The lookup whose shot is open on it.
+    pub open: Option<Id>,
 }
 
 impl Conn {
     pub fn new(stream: Async<TcpStream>) -> Conn {
         _ = stream.get_ref().set_nodelay(true);
-        Conn { stream, ahead: Vec::new() }
+        Conn { stream, ahead: Vec::new(), open: None }
     }
 
     /// Reads some more; `Ok(0)` is the end. Dropped while it waits, it has read nothing.
