--- a/crates/lab/src/stand/list.rs
+++ b/crates/lab/src/stand/list.rs
@@ -9,6 +9,7 @@
 use crate::wire::{Conn, answer_head};
 use serde_json::json;
 use smol::future::or;
+use std::sync::atomic::Ordering;
 
 /// A call that would wait longer for its turn is turned away.
 const PATIENCE: Micros = 2 * SECOND;
@@ -39,6 +40,7 @@
             }
         };
         let Ok(call) = call else { return };
+        site.list_calls[proxy].fetch_add(1, Ordering::Relaxed);
         let now = site.clock.now();
         if let Some((_, how)) = site.courses.list_outage(now) {
             match fail(site, conn, how).await {
@@ -89,7 +91,8 @@
             }
         }
         let Some(version) = tell(site, proxy, conn, now, index).await else { return };
-        told = index.map(|_| Told { version, called: now, answered: site.clock.now() });
+        let calls = site.list_calls[proxy].load(Ordering::Relaxed);
+        told = index.map(|_| Told { version, called: now, answered: site.clock.now(), calls });
     }
 }
 
@@ -145,14 +148,20 @@
     version: u64,
     called: Micros,
     answered: Micros,
+    /// That its proxy had made by then.
+    calls: usize,
 }
 
 /// After a watch's answer: what changes while the watch goes on counts as told, to the process that called. One that was killed
-/// between its call and the answer was told nothing by it, and neither is the process that was started after it.
+/// between its call and the answer was told nothing by it, and neither is the process that was started after it. Once the proxy's
+/// next call has come, on whichever connection, what it misses is that call's.
 async fn going_on(site: &Site, proxy: usize, told: Told) {
     let mut at = told.version;
     while let Some(change) = site.listing.next(at).filter(|change| *change <= told.answered + GOES_ON) {
         site.clock.reach(change).await;
+        if site.list_calls[proxy].load(Ordering::Relaxed) != told.calls {
+            return;
+        }
         let next = site.listing.version(change);
         count(site, proxy, told.called, &site.listing.since(at, next), change);
         at = next;
--- a/crates/lab/src/stand/mod.rs
+++ b/crates/lab/src/stand/mod.rs
@@ -103,7 +103,8 @@
     missed: Mutex<HashMap<Id, Vec<(usize, usize)>>>,
     /// When the effect of a tagged lookup came about, by its tag and the group that drops repeats.
     tags: Mutex<HashMap<(Vec<u8>, u64), Micros>>,
-    list_free: Mutex<Micros>, // from when on the list takes another call
+    list_free: Mutex<Micros>,     // from when on the list takes another call
+    list_calls: Vec<AtomicUsize>, // that each proxy has made
     chance: Mutex<ChaCha8Rng>,
 }
 
@@ -141,6 +142,7 @@
             missed: Mutex::default(),
             tags: Mutex::default(),
             list_free: Mutex::default(),
+            list_calls: (0..experiment.fleet.proxies).map(|_| AtomicUsize::new(0)).collect(),
             chance: Mutex::new(ChaCha8Rng::seed_from_u64(experiment.seed)),
             evidence: Evidence::new(clock.clone()),
             cluster: Cluster::of(&experiment),
