platform: a call to discovery has a module of its own, apart from the list

Change: call.rs has one call from its connection to the whole answer; list.rs keeps what the list says, and counts calls begun too late where they are begun. No behaviour changes.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! It may use `core`, `http1`, `limits`, `net` and `house`. A door never enters it, nor another source.
 
+mod call;
 mod list;
 mod shape;
 mod terms;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -1,29 +1,25 @@
-//! The platform's list: which caches there are. Starts from what was known, then the whole list and a watch.
+//! The platform's list: which caches there are. Starts from what was known, then the whole list and a watch. Single calls are
+//! `call`'s, their times `terms`'.
 
+use crate::call::{Call, Fault, Link, Said, tenths};
 use crate::{address, terms};
-use chalkwalk_core::clock::span;
 use chalkwalk_core::core::Core;
 use chalkwalk_core::flow;
 use chalkwalk_core::members::Line;
 use chalkwalk_house::fields::{Object, Read, flag, list, object, size, text, text_or, whole, whole_or};
-use chalkwalk_http1::{self as http1, Answering};
-use chalkwalk_net::{quiet, within};
 use chalkwalk_policy::admission::Violation;
-use chalkwalk_policy::discovery::{GIVE_UP_CONNECTING, called_in_time};
+use chalkwalk_policy::discovery::called_in_time;
 use chalkwalk_policy::{Standing, Tenths};
 use serde_json::Value;
 use slog::{info, warn};
+use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
 use smol::future::{FutureExt, pending};
-use smol::{Async, Timer};
 use std::cell::Cell;
-use std::net::{SocketAddr, TcpStream};
-use std::pin::Pin;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// The longest list: 400 bytes a line hold ten thousand caches.
-const LONGEST: usize = 4 << 20;
 /// So many older answers in a row are the truth: the list has started again.
 const OLD_ANSWERS: u32 = 3;
 /// From then on what it says is taken, but no cache is ready by it that was told to be off: it may have started from
@@ -88,6 +84,10 @@
         Rc::new(Source { at: Cell::new(at), moves, moved })
     }
 
+    pub fn address(&self) -> SocketAddr {
+        self.at.get()
+    }
+
     /// The list is elsewhere from now on, and asked at once.
     pub fn move_to(&self, at: SocketAddr) {
         if self.at.replace(at) != at {
@@ -178,20 +178,12 @@
     took: Tenths,
 }
 
-/// Why a call brought nothing.
-enum Fault {
-    /// The service has too much to do.
-    Busy,
-    Failed(String),
-    /// It answered, and broke off: what was told by it is not known.
-    CutShort,
+impl Lost {
+    fn by(call: &Call, fault: String) -> Lost {
+        Lost { fault, took: call.took() }
+    }
 }
 
-type Said = Result<Vec<u8>, Fault>;
-
-/// A call under way, until the answer's body is there.
-type Calling<'a> = Pin<Box<dyn Future<Output = Said> + 'a>>;
-
 enum Came {
     Said(Said),
     /// Of the call that seemed silent.
@@ -205,9 +197,9 @@
 ///
 /// A call that seems silent is made anew, and heard until the new one is answered: it may have been slow.
 async fn watch(core: &Rc<Core>, source: &Source, held: &mut Held, chance: &mut fastrand::Rng) -> Lost {
-    let link = Cell::new(None);
+    let link = Link::default();
     let mut older: Option<Call> = None;
-    let mut newer = Call::begin(core, source, &link, held, chance);
+    let mut newer = held.begin(core, source, &link, chance);
     loop {
         let silent_at = newer.silent_at();
         let came = {
@@ -229,10 +221,10 @@
             Came::Said(Err(Fault::CutShort)) => Some("an answer cut short".to_string()),
             // Only a service that has too much to do is surely the one that told this version; after any other fault the
             // whole list is asked for.
-            Came::Said(Err(Fault::Busy)) => return newer.lost("answered 503".into()),
+            Came::Said(Err(Fault::Busy)) => return Lost::by(&newer, "answered 503".into()),
             Came::Said(Err(Fault::Failed(fault))) => {
                 held.since = false;
-                return newer.lost(fault);
+                return Lost::by(&newer, fault);
             }
             Came::Older(said) => {
                 older = None;
@@ -244,7 +236,7 @@
             }
             Came::Silent => {
                 info!(core.log, "discovery call silent, made anew"; "call" => newer.number);
-                older = Some(std::mem::replace(&mut newer, Call::begin(core, source, &link, held, chance)));
+                older = Some(std::mem::replace(&mut newer, held.begin(core, source, &link, chance)));
                 continue;
             }
         };
@@ -253,61 +245,33 @@
             let again = held.since && !held.odd;
             (held.since, held.odd) = (false, true);
             if !again {
-                return newer.lost(fault);
+                return Lost::by(&newer, fault);
             }
             warn!(core.log, "list answer passed over"; "call" => newer.number, "fault" => fault);
             Timer::after(terms::at_once(chance)).await;
         }
-        newer = Call::begin(core, source, &link, held, chance);
+        newer = held.begin(core, source, &link, chance);
     }
 }
 
-fn tenths(time: Duration) -> Tenths {
-    (time.as_micros() / 100) as Tenths
-}
-
-/// A call under way.
-struct Call<'a> {
-    number: u64,
-    begun: Instant,
-    /// How long it may wait for news.
-    wait: Duration,
-    answer: Calling<'a>,
-}
-
-impl<'a> Call<'a> {
-    fn begin(
+impl Held {
+    /// Makes the next call, and counts it where that is later than the term for changes allows.
+    fn begin<'a>(
+        &mut self,
         core: &Core,
         source: &'a Source,
-        link: &'a Cell<Option<Async<TcpStream>>>,
-        held: &mut Held,
+        link: &'a Link,
         chance: &mut fastrand::Rng,
     ) -> Call<'a> {
-        let (target, wait) = held.next_call(chance);
-        let begun = Instant::now();
-        held.calls += 1;
-        let before = held.called_at.replace((begun, wait));
+        self.calls += 1;
+        let call = Call::begin(source, link, self.calls, self.next_call(chance));
+        let before = self.called_at.replace((call.begun, call.wait));
         let in_time =
-            before.is_none_or(|(before, wait)| called_in_time(tenths(begun - before), tenths(wait)));
+            before.is_none_or(|(before, wait)| called_in_time(tenths(call.begun - before), tenths(wait)));
         core.violations.check(&core.log, (!in_time).then_some(Violation::DiscoveryNotCalled));
-        let answer = async move {
-            let said = within(terms::over(wait), call(source, link, &target)).await;
-            said.unwrap_or_else(|| Err(Fault::Failed("no answer in time".into())))
-        };
-        Call { number: held.calls, begun, wait, answer: Box::pin(answer) }
+        call
     }
 
-    /// From when on it is taken for silent.
-    fn silent_at(&self) -> Instant {
-        self.begun + terms::silent(self.wait)
-    }
-
-    fn lost(&self, fault: String) -> Lost {
-        Lost { fault, took: tenths(self.begun.elapsed()) }
-    }
-}
-
-impl Held {
     /// Which call comes next, and how long it may wait for news.
     fn next_call(&self, chance: &mut fastrand::Rng) -> (String, Duration) {
         let watch = if self.at_once { Duration::ZERO } else { terms::watch(chance) };
@@ -345,46 +309,3 @@
     held.heard_at = Some(Instant::now());
     Ok(())
 }
-
-/// One call; where a kept link turns out to be closed meanwhile, on a new one.
-async fn call(source: &Source, link: &Cell<Option<Async<TcpStream>>>, target: &str) -> Said {
-    if let Some(kept) = link.take().filter(quiet)
-        && let Ok(said) = ask(source, kept, link, target).await
-    {
-        return said;
-    }
-    // A machine that is cut off never answers; one that is there does so sooner than it lets a call wait.
-    let stream = within(span(GIVE_UP_CONNECTING), Async::<TcpStream>::connect(source.at.get())).await;
-    let stream = stream.unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()));
-    let stream = stream.map_err(|e| Fault::Failed(format!("no connection: {e}")))?;
-    ask(source, stream, link, target).await.map_err(Fault::Failed)?
-}
-
-/// What the list says, or an `Err` outside if it said nothing.
-async fn ask(
-    source: &Source,
-    open: Async<TcpStream>,
-    link: &Cell<Option<Async<TcpStream>>>,
-    target: &str,
-) -> Read<Said> {
-    http1::ask(&open, source.at.get(), target).await.map_err(|e| format!("not written: {e}"))?;
-    let mut answer = Answering::begin(&open).await.map_err(|_| "no answer".to_string())?;
-    match answer.message.status {
-        200 => {}
-        503 => return Ok(Err(Fault::Busy)),
-        other => return Ok(Err(Fault::Failed(format!("answered {other}")))),
-    }
-    let mut body = Vec::new();
-    loop {
-        match answer.part(&open).await {
-            Ok(Some(part)) if body.len() + part.len() <= LONGEST => body.extend(part),
-            Ok(Some(_)) => return Ok(Err(Fault::Failed(format!("a list of over {LONGEST} bytes")))),
-            Ok(None) => break,
-            Err(_) => return Ok(Err(Fault::CutShort)),
-        }
-    }
-    if answer.keeps() {
-        link.set(Some(open));
-    }
-    Ok(Ok(body))
-}
