--- a/crates/proxy/tests/discovery_outage.rs
+++ b/crates/proxy/tests/discovery_outage.rs
@@ -8,7 +8,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -195,11 +195,9 @@
     format!("127.{}.{}.{host}:{port}", 1 + pid % 250, pid / 250 % 250).parse().unwrap()
 }
 
-fn start_process(outage: Outage, process: usize, servers: &[SocketAddr]) -> (Child, SocketAddr) {
-    let (listen, discovery) =
-        (process_address(outage, process, 3400), process_address(outage, process, 3401));
+fn configuration(process: usize, listen: SocketAddr, discovery: SocketAddr, servers: &[SocketAddr]) -> Value {
     let known: Value = serde_json::from_str(&server_list(servers, 1)).unwrap();
-    let configuration = json!({"name": format!("process-{process}"), "listen": listen.to_string(),
+    json!({"name": format!("process-{process}"), "listen": listen.to_string(),
         "discovery": discovery.to_string(), "seed": format!("{:x}", 7919 * (process + 1)),
         "limits": {"sockets": 256}, "known": known,
         "settings": {"az": "here", "zones": ["here"], "kinds": ["cache", "origin"], "discovery": "subscribe",
@@ -209,16 +207,24 @@
             "rules": {"drainGraceNs": GRACE.as_nanos() as u64, "askEveryNs": 10_000_000_000u64},
             "namespaces": [{"name": "page", "idempotency": "free", "group": "all", "dedupWindowNs": 0,
                 "targetTimeNs": 500_000_000u64, "timeLimitNs": 900_000_000u64, "utility": 1.0,
-                "overdueUtility": 0.0}]}});
-    let path =
-        format!("{}/outage-{}-{outage:?}-{process}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
-    std::fs::write(&path, configuration.to_string()).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_chalkwalk"))
-        .args(["serve", "--config", &path])
+                "overdueUtility": 0.0}]}})
+}
+
+fn start(path: &str, configuration: &Value) -> Child {
+    std::fs::write(path, configuration.to_string()).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_chalkwalk"))
+        .args(["serve", "--config", path])
         .stderr(Stdio::null())
         .spawn()
-        .unwrap();
-    (child, listen)
+        .unwrap()
+}
+
+fn start_process(outage: Outage, process: usize, servers: &[SocketAddr]) -> (Child, SocketAddr) {
+    let (listen, discovery) =
+        (process_address(outage, process, 3400), process_address(outage, process, 3401));
+    let path =
+        format!("{}/outage-{}-{outage:?}-{process}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    (start(&path, &configuration(process, listen, discovery, servers)), listen)
 }
 
 /// Sends requests one after the other, each with a key of its own, until told to stop.
@@ -327,3 +333,52 @@
 fn after_half_answers_a_drain_is_known_in_time() {
     play(Outage::HalfAnswer);
 }
+
+/// Discovery is moved by a new configuration while a call waits at the old address, and the new one refuses calls. What the old one
+/// writes just after that counts as told.
+#[test]
+fn what_a_call_at_the_old_address_brings_after_a_move_is_taken() {
+    let discovery = Arc::new(Discovery {
+        outage: Outage::Unavailable,
+        down: AtomicBool::new(false),
+        returned: Mutex::new(None),
+        answered: Mutex::new(vec![None]),
+    });
+    let last: LastSends = Arc::new(Mutex::new(vec![None]));
+    let servers: Vec<SocketAddr> =
+        (0..SERVERS.len()).map(|i| serve_requests(discovery.clone(), i == 0, last.clone())).collect();
+    let servers = Arc::new(servers);
+    let refusing = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (moved_to, calls) = (refusing.local_addr().unwrap(), Arc::new(AtomicUsize::new(0)));
+    let refused = calls.clone();
+    spawn(move || {
+        for mut stream in refusing.incoming().flatten() {
+            while read_head(&mut stream).is_some() {
+                refused.fetch_add(1, Ordering::SeqCst);
+                _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+            }
+        }
+    });
+    let at = |port| process_address(Outage::HalfAnswer, PROCESSES, port);
+    serve_discovery(discovery.clone(), 0, servers.clone(), at(3401));
+    let path = format!("{}/moved-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    let process = start(&path, &configuration(0, at(3400), at(3401), &servers));
+    let id = process.id().to_string();
+    let _processes = Processes(vec![process]);
+    // Its first call is made within 3 s, and waits for news.
+    sleep(Duration::from_secs(4));
+    std::fs::write(&path, configuration(0, at(3400), moved_to, &servers).to_string()).unwrap();
+    Command::new("kill").args(["-HUP", &id]).status().unwrap();
+    let end = Instant::now() + Duration::from_secs(5);
+    while calls.load(Ordering::SeqCst) == 0 && Instant::now() < end {
+        sleep(Duration::from_millis(1));
+    }
+    assert!(calls.load(Ordering::SeqCst) > 0, "the new address was never called");
+    *discovery.returned.lock().unwrap() = Some(Instant::now());
+    sleep(Duration::from_millis(200));
+    let stop = Arc::new(AtomicBool::new(false));
+    send_requests(0, at(3400), stop.clone());
+    sleep(Duration::from_secs(2));
+    stop.store(true, Ordering::SeqCst);
+    assert!(last.lock().unwrap()[0].is_none(), "sent to the draining server");
+}
