What a call at the old address brings after a move of discovery is taken; the soak plays crowds

Cause: follow() dropped the call under way when a new configuration moved discovery, and watch() the older of two calls when the newer failed; what was written to them by then counts as told. Change: a move is an event of the watch: the call at the old address is heard until the new one is answered, and only for what it says is off, as it may have another history; an older call is heard out for a turn where the newer fails. The soak draws surges under which all servers stand still and most clients leave, and few descriptors; the lab's list tells nothing to a proxy that has given the call up by its turn.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -58,6 +58,7 @@
         let mut draw = Draw(ChaCha8Rng::seed_from_u64(self.seed));
         let mut text = self.head(&mut draw);
         self.discovery(&mut draw, &mut text);
+        self.crowd(&mut draw, &mut text);
         self.servers(&mut draw, &mut text);
         self.processes(&mut draw, &mut text);
         text
@@ -67,6 +68,7 @@
         let Soak { seed, seconds, proxies } = self;
         let (retries, leave) = (draw.below(3), draw.between(0.0, 0.1));
         let (withdrawals, copies) = (draw.chance(0.7), draw.chance(0.7));
+        let sockets = [48, 96, 1024][draw.below(3)];
         let (most, list_call) = (2 + draw.below(4), draw.between(1.0, 3000.0 / *proxies as f64));
         let group = draw.one(&["all", "zone", "cell"]);
         let rate = RATE * *proxies as f64;
@@ -74,7 +76,7 @@
             "title = \"Soak, seed {seed}\"\nseed = {seed}\nseconds = {seconds}\n\
              [world]\nzones = {ZONES:?}\ncaches = {CACHES}\ncold_s = 4\nlist_late_s = 0\nlist_call_ms = {list_call:.1}\n\
              fall_multiple = 4\n\
-             [fleet]\nproxies = {proxies}\nnotice_s = 0.5\nsecond_copies = {copies}\nmost_shots = {most}\n\
+             [fleet]\nproxies = {proxies}\nnotice_s = 0.5\nsecond_copies = {copies}\nmost_shots = {most}\nsockets = {sockets}\n\
              withdrawals = {withdrawals}\n\
              [load]\nrate = {rate}\nclients = 200\nkeys = 1500\nretries = {retries}\nleave = {leave:.3}\n\
              [[namespace]]\nname = \"page\"\nshare = 4\ntarget_ms = 500\nlimit_ms = 1500\nwork_ms = 4\n\
@@ -109,6 +111,18 @@
         }
     }
 
+    /// All servers stand still under a surge, so that requests wait for places and connections; most clients leave before they go on.
+    fn crowd(&self, draw: &mut Draw, text: &mut String) {
+        for part in [0.05, 0.7] {
+            let at = draw.between(part, part + 0.2) * self.seconds;
+            let lasts = draw.between(0.6, 1.3);
+            let left = at + lasts * draw.between(0.7, 0.95);
+            _ = writeln!(text, "[[load.surge]]\nat = {at:.2}\nfor = {lasts:.2}\nfactor = 4");
+            _ = writeln!(text, "[[load.gust]]\nat = {left:.2}\nshare = 0.8");
+            trouble(text, "stands-still", at, &format!("for = {lasts:.2}"));
+        }
+    }
+
     fn servers(&self, draw: &mut Draw, text: &mut String) {
         for _ in 0..4 {
             let kind = draw.one(&PARTIAL);
--- a/crates/lab/src/stand/list.rs
+++ b/crates/lab/src/stand/list.rs
@@ -59,6 +59,10 @@
             continue;
         };
         site.clock.reach(turn).await;
+        if conn.is_closed() {
+            // Given up before its turn: nothing is told by it.
+            return;
+        }
         if let Some(index) = index.filter(|i| *i >= site.listing.version(site.clock.now())) {
             let newer = site.listing.next(index).unwrap_or(Micros::MAX);
             let ends = site.courses.list_down.iter().map(|(s, _)| s.start).filter(|at| *at > now).min();
--- a/crates/lab/src/wire.rs
+++ b/crates/lab/src/wire.rs
@@ -190,6 +190,15 @@
         _ = socket2::SockRef::from(self.stream.get_ref()).set_linger(Some(std::time::Duration::ZERO));
     }
 
+    /// Whether the other side has ended the connection by now, and sent nothing before that.
+    pub fn is_closed(&self) -> bool {
+        let mut one = [0];
+        match self.stream.get_ref().peek(&mut one) {
+            Ok(count) => count == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Comes to an end when the other side ends the connection; what it sends meanwhile stays in `ahead`.
     pub async fn closed(&mut self) {
         while matches!(self.more().await, Ok(1..)) {
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -27,6 +27,16 @@
     CutShort,
 }
 
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Fault::Busy => write!(f, "answered 503"),
+            Fault::Failed(fault) => write!(f, "{fault}"),
+            Fault::CutShort => write!(f, "an answer cut short"),
+        }
+    }
+}
+
 pub type Said = Result<Vec<u8>, Fault>;
 
 /// A call under way, until the answer's body is there.
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -3,12 +3,14 @@
 
 use crate::call::{Call, Fault, Link, Said, tenths};
 use crate::{address, terms};
+use chalkwalk_core::clock::span;
 use chalkwalk_core::core::Core;
 use chalkwalk_core::flow;
 use chalkwalk_core::members::Line;
 use chalkwalk_house::fields::{Object, Read, flag, list, object, size, text, text_or, whole, whole_or};
+use chalkwalk_net::within;
 use chalkwalk_policy::admission::Violation;
-use chalkwalk_policy::discovery::called_in_time;
+use chalkwalk_policy::discovery::{TURN, called_in_time};
 use chalkwalk_policy::{Standing, Tenths};
 use serde_json::Value;
 use slog::{info, warn};
@@ -150,19 +152,7 @@
         if !(nothing || wanted.or(moved).await) {
             held.moved();
         }
-        let lost = loop {
-            // A list that has moved is asked for all it has, at once: the old address may still hold a watch open.
-            let over = async { Some(watch(&core, &source, &mut held, &mut chance).await) };
-            let elsewhere = async {
-                let gone = source.moved.recv().await.err();
-                gone.map(|e| Lost { fault: e.to_string(), took: 0 })
-            };
-            if let Some(lost) = over.or(elsewhere).await {
-                break lost;
-            }
-            info!(core.log, "discovery moved"; "address" => %source.at.get());
-            held.moved();
-        };
+        let lost = watch(&core, &source, &mut held, &mut chance).await;
         core.list_had();
         flow::discovery_call_failed(&core, lost.took);
         let unheard = held.heard_at.map(|at| at.elapsed().as_millis() as u64);
@@ -186,19 +176,23 @@
 
 enum Came {
     Said(Said),
-    /// Of the call that seemed silent.
+    /// Of the call that seemed silent, or of the one to the old address.
     Older(Said),
     Silent,
+    Moved,
 }
 
 /// Calls again at once after each answer, until one fails, which it returns. A watch goes on for 200 ms after an answer, and
 /// what changes in that time counts as told: whoever rested from it would send to caches that he was told are draining. So it
 /// is after an answer that makes no sense as well, once in a row: then all of the list is asked for.
 ///
-/// A call that seems silent is made anew, and heard until the new one is answered: it may have been slow.
+/// A call that seems silent is made anew, and heard until the new one is answered: it may have been slow. So is the one to the old
+/// address where discovery has moved: what was about to be written there counts as told. A list that has moved is asked for all
+/// it has, at once.
 async fn watch(core: &Rc<Core>, source: &Source, held: &mut Held, chance: &mut fastrand::Rng) -> Lost {
     let link = Link::default();
     let mut older: Option<Call> = None;
+    let mut older_elsewhere = false;
     let mut newer = held.begin(core, source, &link, chance);
     loop {
         let silent_at = newer.silent_at();
@@ -214,28 +208,51 @@
                 Timer::at(silent_at).await;
                 Came::Silent
             };
-            said.or(of_older).or(over).await
+            let moved = async {
+                match source.moved.recv().await {
+                    Ok(()) => Came::Moved,
+                    // Nobody moves it any more.
+                    Err(_) => pending().await,
+                }
+            };
+            said.or(of_older).or(moved).or(over).await
         };
         let odd = match came {
             Came::Said(Ok(body)) => hear(core, held, &body).err(),
-            Came::Said(Err(Fault::CutShort)) => Some("an answer cut short".to_string()),
+            Came::Said(Err(fault @ Fault::CutShort)) => Some(fault.to_string()),
             // Only a service that has too much to do is surely the one that told this version; after any other fault the
             // whole list is asked for.
-            Came::Said(Err(Fault::Busy)) => return Lost::by(&newer, "answered 503".into()),
-            Came::Said(Err(Fault::Failed(fault))) => {
-                held.since = false;
-                return Lost::by(&newer, fault);
+            Came::Said(Err(fault @ (Fault::Busy | Fault::Failed(_)))) => {
+                held.since &= matches!(fault, Fault::Busy);
+                // The older one may still bring what the newer did not; the rest after it is that much shorter.
+                if let Some(call) = older.take()
+                    && let Some(Ok(body)) = within(span(TURN), call.answer).await
+                    && hear_older(core, held, &body, older_elsewhere)
+                {
+                    newer = held.begin(core, source, &link, chance);
+                    continue;
+                }
+                return Lost::by(&newer, fault.to_string());
             }
             Came::Older(said) => {
                 older = None;
                 // Where it failed, the newer one is there.
-                if let Some(fault) = said.ok().and_then(|body| hear(core, held, &body).err()) {
-                    warn!(core.log, "list answer passed over"; "fault" => fault);
+                if let Ok(body) = said {
+                    hear_older(core, held, &body, older_elsewhere);
                 }
                 continue;
             }
+            Came::Moved => {
+                info!(core.log, "discovery moved"; "address" => %source.at.get());
+                held.moved();
+                link.take();
+                older = Some(std::mem::replace(&mut newer, held.begin(core, source, &link, chance)));
+                older_elsewhere = true;
+                continue;
+            }
             Came::Silent => {
                 info!(core.log, "discovery call silent, made anew"; "call" => newer.number);
+                older_elsewhere = false;
                 older = Some(std::mem::replace(&mut newer, held.begin(core, source, &link, chance)));
                 continue;
             }
@@ -288,13 +305,34 @@
     }
 }
 
+/// Takes the answer to a call beside which another was made; whether all of it was taken. The old address may have another history:
+/// only what it says is off counts.
+fn hear_older(core: &Rc<Core>, held: &mut Held, body: &[u8], elsewhere: bool) -> bool {
+    let heard = match elsewhere {
+        true => hear_what_is_off(core, body),
+        false => hear(core, held, body),
+    };
+    if let Err(fault) = &heard {
+        warn!(core.log, "list answer passed over"; "fault" => fault);
+    }
+    heard.is_ok() && !elsewhere
+}
+
+/// Takes of an answer only what it says is off.
+fn hear_what_is_off(core: &Rc<Core>, body: &[u8]) -> Read<()> {
+    let said: Value = serde_json::from_slice(body).map_err(|e| format!("no JSON: {e}"))?;
+    let lines = list(object(&said, "the list")?, "servers")?;
+    take_off(core, lines.iter().flat_map(line).collect::<Vec<_>>().iter());
+    Ok(())
+}
+
 fn hear(core: &Rc<Core>, held: &mut Held, body: &[u8]) -> Read<()> {
     let said: Value = serde_json::from_slice(body).map_err(|e| format!("no JSON: {e}"))?;
     let said = object(&said, "the list")?;
     let version = whole(said, "version")?;
     if version < held.version && held.older < OLD_ANSWERS {
         held.older += 1;
-        take_off(core, list(said, "servers")?.iter().flat_map(line).collect::<Vec<_>>().iter());
+        hear_what_is_off(core, body)?;
         return Err(format!("an old list, {version} after {}", held.version));
     }
     let now = core.clock.now();
