An older call is heard only as long as the term leaves room; the count of late calls knows watches

Change: an older call is heard until 3.25 s after the newer one began; the count allows the shortest rest after a watch.

--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -8,9 +8,9 @@
 use chalkwalk_core::flow;
 use chalkwalk_core::members::Line;
 use chalkwalk_house::fields::{Object, Read, flag, list, object, size, text, text_or, whole, whole_or};
-use chalkwalk_net::within;
+use chalkwalk_net::wait_until;
 use chalkwalk_policy::admission::Violation;
-use chalkwalk_policy::discovery::{TURN, called_in_time};
+use chalkwalk_policy::discovery::{OLDER_HEARD, called_in_time};
 use chalkwalk_policy::{Standing, Tenths};
 use serde_json::Value;
 use slog::{info, warn};
@@ -226,7 +226,7 @@
                 held.since &= matches!(fault, Fault::Busy);
                 // The older one may still bring what the newer did not; the rest after it is that much shorter.
                 if let Some(call) = older.take()
-                    && let Some(Ok(body)) = within(span(TURN), call.answer).await
+                    && let Some(Ok(body)) = wait_until(newer.begun + span(OLDER_HEARD), call.answer).await
                     && hear_older(core, held, &body, older_elsewhere)
                 {
                     newer = held.begin(core, source, &link, chance);
--- a/crates/policy/src/discovery.rs
+++ b/crates/policy/src/discovery.rs
@@ -57,16 +57,22 @@
 /// from answering anybody. Eight seconds in the mean, so that a queue of five seconds runs dry first.
 const REST_WHILE_CONGESTED: (Tenths, Tenths) = (4 * SECOND, 12 * SECOND);
 
+/// An older call beside a newer one that failed is heard until so long after the beginning of the newer: the shortest rest follows.
+pub const OLDER_HEARD: Tenths = RETRIED_WITHIN - 2 * SHORTEST_REST;
+
 // The term, part by part: what takes the longest before the next call can be made.
 const _: () = assert!(GIVE_UP_CONNECTING + 2 * SHORTEST_REST <= RETRIED_WITHIN);
 const _: () = assert!(SILENT_AFTER <= RETRIED_WITHIN);
+const _: () = assert!(WATCH_SILENT_AFTER + 2 * SHORTEST_REST <= TURN);
 // A silent watch is followed by another call while what it misses does not count as notified yet.
 const _: () = assert!(WATCH + WATCH_SILENT_AFTER <= NOTIFIED_WITHIN);
 
 /// Whether a call that begins so long after the one before keeps the term; that one could wait for news for `wait`. The grace of
 /// drains covers the headroom.
 pub fn called_in_time(apart: Tenths, wait: Tenths) -> bool {
-    let watched = if wait > 0 { wait + WATCH_SILENT_AFTER } else { 0 };
+    // A watch may fail just before it is taken for silent, and the shortest rest follows. What it missed counts as notified a turn
+    // after its wait.
+    let watched = if wait > 0 { wait + WATCH_SILENT_AFTER + 2 * SHORTEST_REST } else { 0 };
     apart <= CALLS_APART.max(watched) + HEADROOM
 }
 
