--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -241,7 +241,6 @@
     if let Some(status) = has_ended(&mut proxy) {
         finish(NOT_RUN, &format!("not run: the proxy ended by itself, {status}"));
     }
-    _ = std::fs::remove_dir_all(&folder);
     let count = |wanted: Ending| endings.iter().filter(|ending| **ending == wanted).count();
     let (whole, coming, off, not) =
         (count(Ending::Whole), count(Ending::UnderWay), count(Ending::CutOff), count(Ending::NotServed));
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -242,7 +242,6 @@
     if let Some(status) = has_ended(&mut proxy) {
         finish(NOT_RUN, &format!("not run: the proxy ended by itself, {status}"));
     }
-    _ = std::fs::remove_dir_all(&folder);
     let runs = cluster.runs.lock().unwrap();
     let mut twice: Vec<_> =
         runs.iter().filter(|((key, _), count)| key.starts_with("loan:") && **count > 1).collect();
--- a/review/kit/mod.rs
+++ b/review/kit/mod.rs
@@ -19,6 +19,7 @@
 static START: OnceLock<Instant> = OnceLock::new();
 static RECORD: OnceLock<Mutex<File>> = OnceLock::new();
 static PIDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static FOLDER: OnceLock<PathBuf> = OnceLock::new();
 
 /// Milliseconds since the start of the case.
 pub fn now_ms() -> f64 {
@@ -37,6 +38,9 @@
     record(&format!("verdict: {verdict}"));
     println!("{verdict}");
     kill_all();
+    if let Some(folder) = FOLDER.get() {
+        _ = std::fs::remove_dir_all(folder);
+    }
     exit(status)
 }
 
@@ -80,13 +84,13 @@
     }
 }
 
-/// A new private folder, removed by `remove_folder`.
+/// The private folder of this run; removed at its end.
 pub fn temporary_folder() -> PathBuf {
     let path = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), now_ms() as u64));
     if std::fs::create_dir_all(&path).is_err() {
         finish(NOT_RUN, "not run: no temporary folder");
     }
-    path
+    FOLDER.get_or_init(|| path).clone()
 }
 
 pub fn listen() -> (TcpListener, SocketAddr) {
@@ -134,7 +138,7 @@
 }
 
 pub fn signal(pid: u32, name: &str) {
-    _ = Command::new("kill").args([&format!("-{name}"), &pid.to_string()]).status();
+    _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).stderr(Stdio::null()).status();
 }
 
 /// Waits for a condition, for at most so long.
