Log responses that the proxy cuts off because their client is slow

Change: the writer of replies returns a typed outcome, and a reply that the proxy ends for its client's slowness is one warning with the bytes that had been written. What is cut off and when stays as it was.

--- a/crates/http-frontend/src/connection.rs
+++ b/crates/http-frontend/src/connection.rs
@@ -5,12 +5,13 @@
 use crate::read_request::read_request;
 use crate::reply::Reply;
 use crate::route::route;
-use crate::write_reply::{ReplyOptions, refuse, write_reply};
+use crate::write_reply::{ReplyOptions, ReplyOutcome, refuse, write_reply};
 use chalkwalk_engine::budget::Permit;
 use chalkwalk_engine::engine::ClientConnection;
 use chalkwalk_http1::{HttpError, Message};
 use chalkwalk_sockets::is_idle;
 use chalkwalk_time::{Span, Timestamp};
+use slog::warn;
 use smol::Async;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -81,8 +82,14 @@
                 return refuse(&self.stream, reply).await;
             }
             let options = ReplyOptions { close: close || self.client_connection.must_close(), is_http10 };
-            if !write_reply(&self.stream, reply, options).await {
-                return;
+            match write_reply(&self.stream, reply, options).await {
+                ReplyOutcome::KeepOpen => {}
+                ReplyOutcome::Closed => return,
+                ReplyOutcome::ClientTooSlow { written_bytes } => {
+                    warn!(self.frontend.engine.log, "response cut off, client too slow";
+                        "written_bytes" => written_bytes);
+                    return;
+                }
             }
         }
     }
--- a/crates/http-frontend/src/write_reply.rs
+++ b/crates/http-frontend/src/write_reply.rs
@@ -18,6 +18,8 @@
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of bytes that are discarded during [`LINGER_TIMEOUT`].
 const LINGER_MAX_BYTES: usize = 256 << 10;
+/// The end of a chunked body.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// How a reply is written, depending on the client's connection.
 #[derive(Clone, Copy, Debug)]
@@ -28,8 +30,26 @@
     pub is_http10: bool,
 }
 
-/// Writes a reply. Returns whether the connection may carry another request.
-pub(crate) async fn write_reply(stream: &Async<TcpStream>, mut reply: Reply, options: ReplyOptions) -> bool {
+/// How the writing of a reply ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReplyOutcome {
+    /// The reply is written, and the connection may carry another request.
+    KeepOpen,
+    /// The reply is written or was cut off by its client or server; the connection is closed.
+    Closed,
+    /// The proxy cut the reply off because the client took its bytes too slowly.
+    ClientTooSlow {
+        /// The bytes of the reply that the client's socket had accepted.
+        written_bytes: u64,
+    },
+}
+
+/// Writes a reply.
+pub(crate) async fn write_reply(
+    stream: &Async<TcpStream>,
+    mut reply: Reply,
+    options: ReplyOptions,
+) -> ReplyOutcome {
     match reply.stream.take() {
         Some(body) => write_streamed(stream, &reply, *body, options).await,
         None => write_whole(stream, &reply, options.close).await,
@@ -42,15 +62,35 @@
     linger(stream).await;
 }
 
-async fn write_whole(stream: &Async<TcpStream>, reply: &Reply, close: bool) -> bool {
+/// Why a reply is cut off.
+#[derive(Clone, Copy, Debug)]
+enum CutOff {
+    /// The client took the bytes of the reply too slowly.
+    ClientTooSlow,
+    /// The client has disconnected.
+    ClientDisconnected,
+    /// The server did not send the rest of the body.
+    Server,
+}
+
+impl CutOff {
+    fn outcome(self, written_bytes: u64) -> ReplyOutcome {
+        match self {
+            CutOff::ClientTooSlow => ReplyOutcome::ClientTooSlow { written_bytes },
+            CutOff::ClientDisconnected | CutOff::Server => ReplyOutcome::Closed,
+        }
+    }
+}
+
+async fn write_whole(stream: &Async<TcpStream>, reply: &Reply, close: bool) -> ReplyOutcome {
     let head = reply.head(Some(reply.body.len() as u64), close) + "\r\n";
-    let parts = [head.as_bytes(), &reply.body];
-    let written = with_timeout(WRITE_TIMEOUT, write_all(stream, &parts)).await;
-    let keep_open = matches!(written, Some(Ok(()))) && !close;
-    if !keep_open {
-        shutdown_write(stream);
+    let mut writer = ReplyWriter::new(stream);
+    let written = writer.write(&[head.as_bytes(), &reply.body]).await;
+    if written.is_ok() && !close {
+        return ReplyOutcome::KeepOpen;
     }
-    keep_open
+    shutdown_write(stream);
+    written.err().map_or(ReplyOutcome::Closed, |cut_off| cut_off.outcome(writer.written_bytes))
 }
 
 async fn write_streamed(
@@ -58,20 +98,21 @@
     reply: &Reply,
     body: BodyStream,
     options: ReplyOptions,
-) -> bool {
+) -> ReplyOutcome {
     let framing = Framing::new(body.content_length, options.is_http10);
     let close = options.close || framing == Framing::UntilClose;
-    let complete = stream_body(stream, reply, body, framing, close).await.is_some();
-    if !complete && framing == Framing::UntilClose {
+    let mut writer = ReplyWriter::new(stream);
+    let written = stream_body(&mut writer, reply, body, framing, close).await;
+    if written.is_ok() && !close {
+        return ReplyOutcome::KeepOpen;
+    }
+    if written.is_err() && framing == Framing::UntilClose {
         // With an orderly close the body would look complete, so the connection is reset.
         _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
-        return false;
-    }
-    if complete && !close {
-        return true;
+    } else {
+        shutdown_write(stream);
     }
-    shutdown_write(stream);
-    false
+    written.err().map_or(ReplyOutcome::Closed, |cut_off| cut_off.outcome(writer.written_bytes))
 }
 
 fn shutdown_write(stream: &Async<TcpStream>) {
@@ -112,45 +153,54 @@
     }
 }
 
-/// Writes a long body part by part. Returns `None` if the body was truncated, because either the
-/// write to the client or the read from the server failed.
+/// Writes a long body part by part.
 async fn stream_body(
-    stream: &Async<TcpStream>,
+    writer: &mut ReplyWriter<'_>,
     reply: &Reply,
     body: BodyStream,
     framing: Framing,
     close: bool,
-) -> Option<()> {
+) -> Result<(), CutOff> {
     let head = reply.head(framing.content_length(), close) + framing.end_of_head();
-    let writer = PartWriter { stream, chunked: framing == Framing::Chunked };
-    writer.write(&head, &reply.body).await?;
+    writer.write_part(&head, &reply.body, framing).await?;
     while let Ok(part) = body.parts.recv().await {
-        writer.write("", &part).await?;
+        writer.write_part("", &part, framing).await?;
     }
     if !body.complete.get() {
-        return None;
+        return Err(CutOff::Server);
+    }
+    match framing {
+        Framing::Chunked => writer.write(&[LAST_CHUNK]).await,
+        Framing::ContentLength(_) | Framing::UntilClose => Ok(()),
     }
-    writer.finish().await
 }
 
-struct PartWriter<'a> {
+/// Writes one reply to a client's connection.
+struct ReplyWriter<'a> {
     stream: &'a Async<TcpStream>,
-    chunked: bool,
+    written_bytes: u64,
 }
 
-impl PartWriter<'_> {
+impl ReplyWriter<'_> {
+    fn new(stream: &Async<TcpStream>) -> ReplyWriter<'_> {
+        ReplyWriter { stream, written_bytes: 0 }
+    }
+
+    async fn write(&mut self, bytes: &[&[u8]]) -> Result<(), CutOff> {
+        match with_timeout(WRITE_TIMEOUT, write_all(self.stream, bytes)).await {
+            Some(written) => written.map_err(|_| CutOff::ClientDisconnected)?,
+            None => return Err(CutOff::ClientTooSlow),
+        }
+        self.written_bytes += bytes.iter().map(|bytes| bytes.len() as u64).sum::<u64>();
+        Ok(())
+    }
+
     /// Writes `prefix` unframed, followed by a part of the body.
-    async fn write(&self, prefix: &str, part: &[u8]) -> Option<()> {
-        let is_chunk = self.chunked && !part.is_empty();
+    async fn write_part(&mut self, prefix: &str, part: &[u8], framing: Framing) -> Result<(), CutOff> {
+        let is_chunk = framing == Framing::Chunked && !part.is_empty();
         let chunk_size_line = if is_chunk { format!("{:x}\r\n", part.len()) } else { String::new() };
         let chunk_end: &[u8] = if is_chunk { b"\r\n" } else { b"" };
-        let parts = [prefix.as_bytes(), chunk_size_line.as_bytes(), part, chunk_end];
-        with_timeout(WRITE_TIMEOUT, write_all(self.stream, &parts)).await?.ok()
-    }
-
-    /// Writes the end of the body, if the framing has one.
-    async fn finish(&self) -> Option<()> {
-        if self.chunked { self.write("0\r\n\r\n", b"").await } else { Some(()) }
+        self.write(&[prefix.as_bytes(), chunk_size_line.as_bytes(), part, chunk_end]).await
     }
 }
 
