Cut off a slow client by its rate, not by 2 s without progress

Cause: each part of a body had 2 s to be written. The window of a client's receive buffer opens in steps of up to an eighth of the buffer; at that rate two steps are 2.4 to 3.1 s apart for the buffers that were cut off, 1.6 s for those that were not. The reviewer's guess, that a full send buffer is writable again only when a third is free, is true, but not the cause by itself: a part is tried once more when its time is over, and was then written wherever a step had come.

Change: PacedWriter. A peer may let the writer wait for 2 s, and for the time that the bytes it has accepted take at 32 kB a second, 30 s at most. At 64 kB a second each step earns twice its own time, so a steady client never uses its allowance up. At most 128 KiB wait unsent in the kernel, so that a client that stops is noticed early. The engine's 10 s for handing a part on is gone: the frontend bounds that wait.

--- a/crates/engine/src/body_transfer.rs
+++ b/crates/engine/src/body_transfer.rs
@@ -13,9 +13,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A streamed response is aborted if the server sends nothing, or the client reads nothing, for
-/// this long. The time limit of the request is over by then, and a server that is slow on purpose
-/// writes something every second.
+/// A streamed response is aborted if the server sends nothing for this long. The time limit of the
+/// request is over by then, and a server that is slow on purpose writes something every second.
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A response of which the start has been read.
@@ -73,8 +72,9 @@
             let part = with_timeout(STREAM_STALL_TIMEOUT, self.body.next_part(&self.connection.stream)).await;
             match part {
                 Some(Ok(Some(part))) => {
-                    let sent = with_timeout(STREAM_STALL_TIMEOUT, self.parts.send(part)).await;
-                    if !matches!(sent, Some(Ok(()))) {
+                    // The frontend bounds this wait: it drops the receiver of a client that has
+                    // left or reads too slowly.
+                    if self.parts.send(part).await.is_err() {
                         return AttemptOutcome::Cancelled;
                     }
                 }
--- a/crates/http-frontend/src/write_reply.rs
+++ b/crates/http-frontend/src/write_reply.rs
@@ -2,15 +2,14 @@
 
 use crate::reply::Reply;
 use chalkwalk_engine::response::BodyStream;
-use chalkwalk_sockets::{read_more, with_timeout, write_all};
+use chalkwalk_sockets::{PacedWriter, WriteError, limit_unsent_bytes, read_more, with_timeout};
 use smol::Async;
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
-/// Maximum time to write a whole reply, or one part of a streamed body. A client that takes longer
-/// is treated as disconnected. A short body fits into the socket's send buffer, and a client that
-/// reads 64 kB per second accepts several parts of a long body in this time.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a client that accepts nothing of a reply is waited for. Beyond that, it must read at the
+/// minimum rate of [`PacedWriter`], or else it is treated as disconnected.
+const WRITE_ALLOWANCE: Duration = Duration::from_secs(2);
 
 /// After an error reply, data that the client still sends is read and discarded for up to this time
 /// and up to `LINGER_MAX_BYTES`. If the socket were closed immediately, unread data would cause a
@@ -82,6 +81,15 @@
     }
 }
 
+impl From<WriteError> for CutOff {
+    fn from(error: WriteError) -> CutOff {
+        match error {
+            WriteError::PeerTooSlow => CutOff::ClientTooSlow,
+            WriteError::Connection(_) => CutOff::ClientDisconnected,
+        }
+    }
+}
+
 async fn write_whole(stream: &Async<TcpStream>, reply: &Reply, close: bool) -> ReplyOutcome {
     let head = reply.head(Some(reply.body.len() as u64), close) + "\r\n";
     let mut writer = ReplyWriter::new(stream);
@@ -90,7 +98,7 @@
         return ReplyOutcome::KeepOpen;
     }
     shutdown_write(stream);
-    written.err().map_or(ReplyOutcome::Closed, |cut_off| cut_off.outcome(writer.written_bytes))
+    written.err().map_or(ReplyOutcome::Closed, |cut_off| cut_off.outcome(writer.0.written_bytes()))
 }
 
 async fn write_streamed(
@@ -101,6 +109,7 @@
 ) -> ReplyOutcome {
     let framing = Framing::new(body.content_length, options.is_http10);
     let close = options.close || framing == Framing::UntilClose;
+    limit_unsent_bytes(stream);
     let mut writer = ReplyWriter::new(stream);
     let written = stream_body(&mut writer, reply, body, framing, close).await;
     if written.is_ok() && !close {
@@ -112,7 +121,7 @@
     } else {
         shutdown_write(stream);
     }
-    written.err().map_or(ReplyOutcome::Closed, |cut_off| cut_off.outcome(writer.written_bytes))
+    written.err().map_or(ReplyOutcome::Closed, |cut_off| cut_off.outcome(writer.0.written_bytes()))
 }
 
 fn shutdown_write(stream: &Async<TcpStream>) {
@@ -176,23 +185,15 @@
 }
 
 /// Writes one reply to a client's connection.
-struct ReplyWriter<'a> {
-    stream: &'a Async<TcpStream>,
-    written_bytes: u64,
-}
+struct ReplyWriter<'a>(PacedWriter<'a>);
 
 impl ReplyWriter<'_> {
     fn new(stream: &Async<TcpStream>) -> ReplyWriter<'_> {
-        ReplyWriter { stream, written_bytes: 0 }
+        ReplyWriter(PacedWriter::new(stream, WRITE_ALLOWANCE))
     }
 
     async fn write(&mut self, bytes: &[&[u8]]) -> Result<(), CutOff> {
-        match with_timeout(WRITE_TIMEOUT, write_all(self.stream, bytes)).await {
-            Some(written) => written.map_err(|_| CutOff::ClientDisconnected)?,
-            None => return Err(CutOff::ClientTooSlow),
-        }
-        self.written_bytes += bytes.iter().map(|bytes| bytes.len() as u64).sum::<u64>();
-        Ok(())
+        self.0.write_all(bytes).await.map_err(CutOff::from)
     }
 
     /// Writes `prefix` unframed, followed by a part of the body.
--- a/crates/sockets/src/stream.rs
+++ b/crates/sockets/src/stream.rs
@@ -34,18 +34,28 @@
 
 /// Writes all parts in order, with as few vectored writes as the socket allows.
 pub async fn write_all(stream: &Async<TcpStream>, parts: &[&[u8]]) -> io::Result<()> {
-    let mut slices: Vec<IoSlice> =
-        parts.iter().filter(|part| !part.is_empty()).map(|part| IoSlice::new(part)).collect();
+    let mut slices = non_empty_slices(parts);
     let mut remaining = &mut slices[..];
     while !remaining.is_empty() {
-        match stream.write_with(|mut socket| socket.write_vectored(remaining)).await? {
-            0 => return Err(ErrorKind::WriteZero.into()),
-            written => IoSlice::advance_slices(&mut remaining, written),
-        }
+        let written = write_some(stream, remaining).await?;
+        IoSlice::advance_slices(&mut remaining, written);
     }
     Ok(())
 }
 
+/// The parts that are not empty, for a vectored write.
+pub(crate) fn non_empty_slices<'a>(parts: &[&'a [u8]]) -> Vec<IoSlice<'a>> {
+    parts.iter().filter(|part| !part.is_empty()).map(|part| IoSlice::new(part)).collect()
+}
+
+/// Writes as many bytes as the socket accepts at once, and waits until it accepts some.
+pub(crate) async fn write_some(stream: &Async<TcpStream>, slices: &[IoSlice<'_>]) -> io::Result<usize> {
+    match stream.write_with(|mut socket| socket.write_vectored(slices)).await? {
+        0 => Err(ErrorKind::WriteZero.into()),
+        written => Ok(written),
+    }
+}
+
 /// Whether the connection is open and has nothing to read. False means that the peer has closed it,
 /// or has sent data that it was not asked for; these bytes stay unread.
 pub fn is_idle(stream: &Async<TcpStream>) -> bool {
