Hold slow RESP clients to a rate as well, not to 10 s a batch

Callers saw: a client that pipelines GETs of 1 MB and reads 70 kB a second without a pause is disconnected 10 s after the socket buffers are full.

A batch of replies, 256 KiB and one reply more, had 10 s to be written, which no client at 64 kB a second can keep for replies over 640 kB.

Change: replies are written by a PacedWriter for the whole connection, with 10 s to begin with, and the cut-off is logged as for HTTP.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -15,7 +15,7 @@
 use chalkwalk_capture::Recorder;
 use chalkwalk_sockets::{MemoryBudget, with_deadline};
 use chalkwalk_time::Timestamp;
-use slog::Logger;
+use slog::{Logger, warn};
 use smol::LocalExecutor;
 use smol::channel::{Receiver, bounded};
 use std::cell::{Cell, RefCell};
@@ -162,6 +162,11 @@
 }
 
 impl ClientConnection {
+    /// Logs that the proxy ends the connection because the client reads too slowly.
+    pub fn log_slow_client(&self, written_bytes: u64) {
+        warn!(self.engine.log, "response cut off, client too slow"; "written_bytes" => written_bytes);
+    }
+
     /// Registers a connection that was just accepted. It counts as open until it is dropped.
     pub fn new(engine: &Rc<Engine>) -> ClientConnection {
         engine.open_clients.set(engine.open_clients.get() + 1);
--- a/crates/http-frontend/src/connection.rs
+++ b/crates/http-frontend/src/connection.rs
@@ -11,7 +11,6 @@
 use chalkwalk_http1::{HttpError, Message};
 use chalkwalk_sockets::is_idle;
 use chalkwalk_time::{Span, Timestamp};
-use slog::warn;
 use smol::Async;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -86,9 +85,7 @@
                 ReplyOutcome::KeepOpen => {}
                 ReplyOutcome::Closed => return,
                 ReplyOutcome::ClientTooSlow { written_bytes } => {
-                    warn!(self.frontend.engine.log, "response cut off, client too slow";
-                        "written_bytes" => written_bytes);
-                    return;
+                    return self.client_connection.log_slow_client(written_bytes);
                 }
             }
         }
--- a/crates/proxy/tests/resp.rs
+++ b/crates/proxy/tests/resp.rs
@@ -11,6 +11,8 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
+const LONG_VALUE_BYTES: usize = 1_000_000;
+
 type CommandLog = Arc<Mutex<Vec<String>>>;
 
 /// Reads the words of one command. The proxy sends commands to servers only as RESP arrays.
@@ -86,6 +88,9 @@
                                 words[1..].iter().map(|k| format!("${}\r\n{k}\r\n", k.len())).collect();
                             format!("*{}\r\n{values}", words.len() - 1)
                         }
+                        _ if key.starts_with("long") => {
+                            format!("${LONG_VALUE_BYTES}\r\n{}\r\n", "v".repeat(LONG_VALUE_BYTES))
+                        }
                         _ if key.starts_with("none") => "$-1\r\n".into(),
                         _ => format!("${}\r\n{key}\r\n", key.len()),
                     };
@@ -392,6 +397,34 @@
     assert!(resident_kb < 40_000, "resident memory is {resident_kb} kB");
 }
 
+/// Guards against disconnecting a client that reads long replies at 70 kB per second: its
+/// connection may accept nothing for many seconds.
+#[test]
+fn a_client_that_reads_long_replies_slowly_but_steadily_is_not_disconnected() {
+    const SLOW_BYTES_PER_MS: usize = 70;
+    const REPLIES: usize = 12;
+    let setup = ProxySetup::new("");
+    let mut stream = setup.connect().unwrap();
+    let mut commands = stream.try_clone().unwrap();
+    spawn(move || {
+        for _ in 0..REPLIES {
+            commands.write_all(b"GET long\r\n").unwrap();
+            sleep(Duration::from_millis(50));
+        }
+    });
+    let (mut buf, mut read_bytes, started) = (vec![0; LONG_VALUE_BYTES], 0, Instant::now());
+    while started.elapsed() < Duration::from_secs(25) {
+        sleep(Duration::from_millis(50));
+        let due_bytes = started.elapsed().as_millis() as usize * SLOW_BYTES_PER_MS - read_bytes;
+        read_bytes += stream.read(&mut buf[..due_bytes]).unwrap_or(0);
+    }
+    _ = stream.shutdown(std::net::Shutdown::Write);
+    let mut rest = Vec::new();
+    _ = stream.read_to_end(&mut rest);
+    let reply_bytes = format!("${LONG_VALUE_BYTES}\r\n\r\n").len() + LONG_VALUE_BYTES;
+    assert_eq!(read_bytes + rest.len(), REPLIES * reply_bytes);
+}
+
 #[test]
 fn malformed_commands_get_an_error_and_a_close_and_users_must_authenticate() {
     let setup = ProxySetup::new(
--- a/crates/resp-frontend/src/connection.rs
+++ b/crates/resp-frontend/src/connection.rs
@@ -86,5 +86,5 @@
         // The accepted commands are still answered: `write_replies` ends the connection.
         std::future::pending().await
     };
-    write_replies(stream, queued_replies, &unread).or(receive_commands).await;
+    write_replies(stream, queued_replies, &unread, connection).or(receive_commands).await;
 }
--- a/crates/resp-frontend/src/connection/reply_writer.rs
+++ b/crates/resp-frontend/src/connection/reply_writer.rs
@@ -3,15 +3,16 @@
 use super::backpressure::{MAX_UNREAD_BYTES, QueuedReply, UnreadBytes};
 use super::pending_reply::ResolvedReply;
 use chalkwalk_engine::budget::Permit;
-use chalkwalk_sockets::{with_timeout, write_all};
+use chalkwalk_engine::engine::ClientConnection;
+use chalkwalk_sockets::{PacedWriter, WriteError, limit_unsent_bytes};
 use smol::Async;
 use smol::channel::Receiver;
 use std::net::TcpStream;
 use std::time::Duration;
 
-/// Maximum time to write a batch. A client that does not read its replies for this long
-/// is disconnected.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a client that accepts nothing is waited for. Beyond that, it must read its replies at
+/// the minimum rate of [`PacedWriter`], or else it is disconnected.
+const WRITE_ALLOWANCE: Duration = Duration::from_secs(10);
 
 /// Replies that are written in one call.
 struct Batch {
@@ -42,7 +43,10 @@
     stream: &Async<TcpStream>,
     queued_replies: Receiver<QueuedReply>,
     unread: &UnreadBytes,
+    connection: &ClientConnection,
 ) {
+    limit_unsent_bytes(stream);
+    let mut writer = PacedWriter::new(stream, WRITE_ALLOWANCE);
     let mut not_ready: Option<QueuedReply> = None;
     loop {
         let first = match not_ready.take() {
@@ -63,9 +67,12 @@
             batch.add(next).await;
         }
         unread.set(batch.reply.bytes.len());
-        let written = with_timeout(WRITE_TIMEOUT, write_all(stream, &[&batch.reply.bytes])).await;
+        let written = writer.write_all(&[&batch.reply.bytes]).await;
         unread.set(0);
-        if batch.reply.is_last || !matches!(written, Some(Ok(()))) {
+        if let Err(WriteError::PeerTooSlow) = written {
+            connection.log_slow_client(writer.written_bytes());
+        }
+        if batch.reply.is_last || written.is_err() {
             return;
         }
     }
--- a/crates/sockets/src/paced_writer.rs
+++ b/crates/sockets/src/paced_writer.rs
@@ -70,7 +70,7 @@
     }
 }
 
-/// Writes one message to a peer, in as many calls as the caller likes.
+/// Writes to one peer, in as many calls as the caller likes.
 pub struct PacedWriter<'a> {
     stream: &'a Async<TcpStream>,
     allowance: WriteAllowance,
@@ -78,8 +78,8 @@
 }
 
 impl<'a> PacedWriter<'a> {
-    /// Creates the writer of a message. `initial` is how long the writer waits for a peer that
-    /// accepts nothing at all.
+    /// Creates a writer to a peer that has accepted nothing yet. `initial` is how long the writer
+    /// waits for a peer that accepts nothing at all.
     pub fn new(stream: &'a Async<TcpStream>, initial: Duration) -> PacedWriter<'a> {
         PacedWriter { stream, allowance: WriteAllowance::new(initial), written_bytes: 0 }
     }
