Give a RESP command the guarantees of all its keys, not of the first

Cause: RespRequest::new took the namespace of the first key; the effects of the other keys were not looked at.

Evidence: the record of the case has each such command twice at the server, with nothing but the reset between; SET of the same key alone is answered as abandoned and runs once.

Change: the namespace of a command is the first of its keys' namespaces that keeps the guarantees of all of them: repeats (single-use, tagged by group and window, replayable) and order. Where each lacks one of another's, the command gets an error and nothing is sent. On the related path, replicas answer a read only where the namespaces of all keys allow it; the first key's decided that, too.

--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -2,7 +2,7 @@
 //! the rule that is violated.
 
 use chalkwalk_config::{explain, format_errors, read};
-use chalkwalk_limits::{Idempotency, Namespace, PlatformLimits, RequestAttributes};
+use chalkwalk_limits::{DedupGroup, Idempotency, Namespace, PlatformLimits, RequestAttributes};
 use chalkwalk_time::Span;
 use expect_test::expect;
 
@@ -12,7 +12,9 @@
         time_limit: limit,
         latency_objective: limit / 2,
         idempotency,
+        dedup_group: DedupGroup::All,
         dedup_window: Span::from_ticks(15_000),
+        in_order: false,
     };
     PlatformLimits {
         max_attempts: 6,
--- a/crates/discovery/src/startup.rs
+++ b/crates/discovery/src/startup.rs
@@ -5,7 +5,7 @@
 use crate::field_paths::FieldPaths;
 use chalkwalk_engine::config::EngineConfig;
 use chalkwalk_http1 as http1;
-use chalkwalk_limits::{Idempotency, Namespace, PlatformLimits};
+use chalkwalk_limits::{DedupGroup, Idempotency, Namespace, PlatformLimits};
 use chalkwalk_settings::PlatformSettings;
 use chalkwalk_settings::fields::{FieldError, FieldResult, JsonObject, integer, object, text, text_or};
 use chalkwalk_time::Span;
@@ -210,7 +210,13 @@
             "tagged" => Idempotency::Tagged,
             _ => Idempotency::SingleUse,
         },
+        dedup_group: match values.text(&setting("group")) {
+            "all" => DedupGroup::All,
+            "zone" => DedupGroup::Zone,
+            _ => DedupGroup::Cell,
+        },
         dedup_window: values.span(&setting("window"), 0.0),
+        in_order: values.number(&setting("in order"), 0.0) > 0.0,
     }
 }
 
--- a/crates/engine/src/classes.rs
+++ b/crates/engine/src/classes.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// The first of these namespaces that keeps the guarantees of all of them; `None` if none does.
+    pub fn strictest_namespace(&self, namespaces: &[usize]) -> Option<usize> {
+        self.active.borrow().platform_limits.strictest_namespace(namespaces)
+    }
+
     fn table(&self) -> Rc<LimitTable> {
         let active = self.active.borrow();
         active.operator_limits.clone().unwrap_or_else(|| active.platform_table.clone())
--- a/crates/http-frontend/tests/wire.rs
+++ b/crates/http-frontend/tests/wire.rs
@@ -8,7 +8,7 @@
 use chalkwalk_engine::lifecycle::Phase;
 use chalkwalk_engine::servers::ListedEndpoint;
 use chalkwalk_http_frontend::{Frontend, HttpHealthCheck, accept_connections};
-use chalkwalk_limits::{Idempotency, Namespace, PlatformLimits};
+use chalkwalk_limits::{DedupGroup, Idempotency, Namespace, PlatformLimits};
 use chalkwalk_time::{Span, Timestamp};
 use expect_test::expect;
 use smol::Async;
@@ -26,7 +26,9 @@
         time_limit: Span::from_secs(1),
         latency_objective: Span::from_millis(500),
         idempotency: Idempotency::Replayable,
+        dedup_group: DedupGroup::All,
         dedup_window: Span::ZERO,
+        in_order: false,
     };
     let platform_limits = PlatformLimits {
         max_attempts: 1,
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -33,5 +33,5 @@
 pub use operator::{
     ClassOverrides, ClientRetries, LimitOverrides, Located, Route, RouteMatch, UncheckedLimits,
 };
-pub use platform::{Idempotency, Namespace, PlatformLimits};
+pub use platform::{DedupGroup, Idempotency, Namespace, PlatformLimits};
 pub use table::{LimitTable, RequestAttributes, RequestClass};
--- a/crates/limits/tests/accepted.rs
+++ b/crates/limits/tests/accepted.rs
@@ -2,8 +2,8 @@
 //! to correct.
 
 use chalkwalk_limits::{
-    ClassOverrides, ClientRetries, EffectiveLimit, Idempotency, LimitOverrides, LimitSource, Located,
-    Namespace, PlatformLimits, RequestAttributes, Route, RouteMatch, UncheckedLimits, check,
+    ClassOverrides, ClientRetries, DedupGroup, EffectiveLimit, Idempotency, LimitOverrides, LimitSource,
+    Located, Namespace, PlatformLimits, RequestAttributes, Route, RouteMatch, UncheckedLimits, check,
 };
 use chalkwalk_time::Span;
 use proptest::option::of;
@@ -16,7 +16,9 @@
         time_limit: Span::from_ticks(20_000),
         latency_objective: Span::from_ticks(8_000),
         idempotency,
+        dedup_group: DedupGroup::All,
         dedup_window: Span::from_ticks(15_000),
+        in_order: false,
     };
     PlatformLimits {
         max_attempts: 6,
--- a/crates/proxy/tests/resp.rs
+++ b/crates/proxy/tests/resp.rs
@@ -318,6 +318,39 @@
     ));
 }
 
+/// Guards against a second run of a single-use write whose command begins with a replayable key:
+/// the guarantees of every key hold for the whole command.
+#[test]
+fn a_command_with_a_single_use_key_anywhere_is_not_retried_after_a_reset() {
+    let setup = ProxySetup::new("split = true\n");
+    let mut observed = String::new();
+    for command in [
+        "MSET breaks:{q} 1 breaks:once:{q} 2",
+        "DEL breaks:{q} breaks:{q}2 breaks:once:{q}",
+        "MSET breaks:{q} 1 breaks:once:{q} 2 other 3",
+    ] {
+        let reply = without_retry_delay(&setup.request(&format!("{command}\r\n")));
+        // The parts of a split command reach the server in any order.
+        let commands = setup.take_commands();
+        let mut commands: Vec<&str> = commands.lines().collect();
+        commands.sort_unstable();
+        observed += &format!("> {command}\n{reply}{}\n", commands.join("\n"));
+    }
+    expect![[r#"
+        > MSET breaks:{q} 1 breaks:once:{q} 2
+        -ERR abandoned: it may have run
+        a: MSET breaks:{q} 1 breaks:once:{q} 2
+        > DEL breaks:{q} breaks:{q}2 breaks:once:{q}
+        -ERR abandoned: it may have run
+        a: DEL breaks:{q} breaks:{q}2 breaks:once:{q}
+        > MSET breaks:{q} 1 breaks:once:{q} 2 other 3
+        -ERR abandoned: it may have run
+        a: MSET breaks:{q} 1 breaks:once:{q} 2
+        a: MSET other 3
+    "#]]
+    .assert_eq(&observed);
+}
+
 #[test]
 fn a_command_over_several_slots_is_split_where_the_operator_allows_it() {
     let setup = ProxySetup::new("split = true\n");
--- a/crates/resp-frontend/src/connection/dispatch.rs
+++ b/crates/resp-frontend/src/connection/dispatch.rs
@@ -9,7 +9,7 @@
 use crate::arguments::Arguments;
 use crate::command::{Command, CommandError, KeyedCommand, SplitCommand, classify_command};
 use crate::frontend::Frontend;
-use crate::request::{NewRequest, RespRequest, TooLongForClass};
+use crate::request::{NewRequest, RequestError, RespRequest};
 use crate::session::Session;
 use chalkwalk_resp::Writer;
 use smol::lock::Semaphore;
@@ -41,9 +41,9 @@
         /// The address at which clients connect to that instance.
         addr: SocketAddr,
     },
-    /// The command is longer than its request class allows.
+    /// The command is not accepted as a request.
     #[error(transparent)]
-    TooLong(#[from] TooLongForClass),
+    Request(#[from] RequestError),
 }
 
 /// Dispatches the commands of one connection.
@@ -155,7 +155,7 @@
     ) -> Result<OpenRequest, DispatchError> {
         self.key_order.wait_for_earlier(&keys, write).await;
         let permit = self.in_flight_permits.acquire_arc().await;
-        let new_request = NewRequest { arguments, key: &keys[0], slot, write, user: &self.session.user };
+        let new_request = NewRequest { arguments, keys: &keys, slot, write, user: &self.session.user };
         let started = OpenRequest::start(RespRequest::new(self.frontend, new_request)?, permit);
         self.key_order.add(keys, write, &started.done);
         Ok(started.request)
--- a/crates/resp-frontend/src/request.rs
+++ b/crates/resp-frontend/src/request.rs
@@ -34,8 +34,8 @@
 pub struct NewRequest<'a> {
     /// The arguments of the command.
     pub arguments: Arguments,
-    /// The first key, which determines the namespace and, with the user, the request class.
-    pub key: &'a str,
+    /// The keys, at least one.
+    pub keys: &'a [String],
     /// The slot of the keys.
     pub slot: u16,
     /// Whether the command writes.
@@ -44,10 +44,38 @@
     pub user: &'a str,
 }
 
-/// A command is longer than its request class allows. The text is the error reply to the client.
+/// Why a command is not accepted as a request. The text is the error reply to the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("ERR the command is longer than its class allows")]
-pub struct TooLongForClass;
+pub enum RequestError {
+    /// The command is longer than its request class allows.
+    #[error("ERR the command is longer than its class allows")]
+    TooLong,
+    /// The keys are in namespaces of which none keeps the guarantees of all others.
+    #[error("ERR no namespace of the keys keeps the guarantees of all others")]
+    ConflictingNamespaces,
+}
+
+/// The key that determines how a command is treated: one of the namespace that keeps the
+/// guarantees of the namespaces of all keys.
+struct DecidingKey<'a> {
+    key: &'a str,
+    namespace: usize,
+    /// Whether replicas may answer the command.
+    allow_stale_reads: bool,
+}
+
+impl<'a> DecidingKey<'a> {
+    fn find(frontend: &Frontend, keys: &'a [String], write: bool) -> Result<DecidingKey<'a>, RequestError> {
+        let settings = &frontend.settings;
+        let namespaces: Vec<usize> =
+            keys.iter().map(|key| settings.namespace_of(key.as_bytes(), write)).collect();
+        let namespace = frontend.engine.classes.strictest_namespace(&namespaces);
+        let namespace = namespace.ok_or(RequestError::ConflictingNamespaces)?;
+        let index = namespaces.iter().position(|other| *other == namespace).unwrap_or(0);
+        let allow_stale_reads = !write && settings.replicas_may_answer(&namespaces);
+        Ok(DecidingKey { key: &keys[index], namespace, allow_stale_reads })
+    }
+}
 
 /// A request that the engine routes.
 pub struct RespRequest {
@@ -55,6 +83,7 @@
     pub(crate) frontend: Rc<Frontend>,
     /// The command in the form that servers accept.
     command: Vec<u8>,
+    /// The key that determines the namespace and, with the user, the request class.
     key: String,
     /// The index of the namespace that the settings assign to the key.
     namespace: usize,
@@ -73,22 +102,20 @@
 
 impl RespRequest {
     /// Creates a request with the limits of its request class.
-    pub fn new(frontend: &Rc<Frontend>, new_request: NewRequest<'_>) -> Result<RespRequest, TooLongForClass> {
-        let NewRequest { arguments, key, slot, write, user } = new_request;
+    pub fn new(frontend: &Rc<Frontend>, new_request: NewRequest<'_>) -> Result<RespRequest, RequestError> {
+        let NewRequest { arguments, keys, slot, write, user } = new_request;
         let engine = &frontend.engine;
-        let settings = &frontend.settings;
-        let namespace = settings.namespace_of(key.as_bytes(), write);
+        let DecidingKey { key, namespace, allow_stale_reads } = DecidingKey::find(frontend, keys, write)?;
         let ClassLimits { class, time_limit, max_body_bytes } =
             engine.classes.find(attributes(namespace, key, user));
         if arguments.byte_len() as u64 > max_body_bytes.max(MIN_COMMAND_LIMIT_BYTES) {
-            return Err(TooLongForClass);
+            return Err(RequestError::TooLong);
         }
         let received_at = engine.clock.earliest_arrival();
         // A request whose deadline has passed is accepted here, and rejected by the balancer at
         // once.
         let deadline =
             may_start_request(engine.clock.now(), received_at + time_limit, engine.response_deadline());
-        let allow_stale_reads = !write && settings.allow_stale_reads.get(namespace) == Some(&true);
         Ok(RespRequest {
             frontend: frontend.clone(),
             command: arguments.into_resp(),
--- a/crates/resp-frontend/src/settings.rs
+++ b/crates/resp-frontend/src/settings.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Whether replicas may answer a read of keys in these namespaces: each of them has to allow it.
+    pub fn replicas_may_answer(&self, namespaces: &[usize]) -> bool {
+        namespaces.iter().all(|namespace| self.allow_stale_reads.get(*namespace) == Some(&true))
+    }
+
     /// Whether `secret` is the secret of the user `name`. The check compares every user in constant
     /// time, so that its duration does not depend on whether the name or the secret is right.
     pub fn authenticates(&self, name: &[u8], secret: &[u8]) -> bool {
--- a/crates/resp-frontend/tests/settings.rs
+++ b/crates/resp-frontend/tests/settings.rs
@@ -41,6 +41,17 @@
     assert_eq!(namespaces(b"page"), [0, 1]);
 }
 
+/// Guards against a stale read of a key whose namespace does not allow it, in a command that begins
+/// with a key whose namespace does.
+#[test]
+fn replicas_answer_a_read_only_where_the_namespaces_of_all_keys_allow_it() {
+    let settings = Settings { allow_stale_reads: vec![true, false, true], ..settings() };
+    assert!(settings.replicas_may_answer(&[0]) && settings.replicas_may_answer(&[0, 2, 0]));
+    for namespaces in [&[1][..], &[0, 1], &[2, 0, 1], &[0, 3]] {
+        assert!(!settings.replicas_may_answer(namespaces), "{namespaces:?}");
+    }
+}
+
 #[test]
 fn a_secret_authenticates_only_its_own_user() {
     let settings = settings();
