Order RESP commands of an ordered namespace by slot, as they may have several keys

Callers saw: where a namespace keeps the order by key, an MSET and a SET from two connections that share a key are out at once if that key is not the first one of the MSET.

The balancer gets one key a request, the first one.

Change: requests of such a namespace are ordered by their slot.

--- a/crates/engine/src/classes.rs
+++ b/crates/engine/src/classes.rs
@@ -119,6 +119,12 @@
         self.active.borrow().platform_limits.strictest_namespace(namespaces)
     }
 
+    /// Whether requests of a namespace with the same key run one at a time, in the order of
+    /// acceptance.
+    pub fn keeps_order(&self, namespace: usize) -> bool {
+        self.active.borrow().platform_limits.namespaces.get(namespace).is_some_and(|found| found.in_order)
+    }
+
     fn table(&self) -> Rc<LimitTable> {
         let active = self.active.borrow();
         active.operator_limits.clone().unwrap_or_else(|| active.platform_table.clone())
--- a/crates/proxy/tests/resp.rs
+++ b/crates/proxy/tests/resp.rs
@@ -136,13 +136,18 @@
             json!({"name": name, "idempotency": repeats, "group": "all", "dedupWindowNs": 300_000_000u64,
                 "targetTimeNs": 500_000_000u64, "timeLimitNs": 600_000_000u64, "utility": 1.0, "overdueUtility": 0.0})
         };
+        let mut ordered = namespace("ordered", "single_shot");
+        ordered["keepOrder"] = true.into();
+        // Commands that wait for their turn are answered in time on a busy machine, too.
+        ordered["targetTimeNs"] = 5_000_000_000u64.into();
+        ordered["timeLimitNs"] = 6_000_000_000u64.into();
         let configuration = json!({"name": "p", "listen": unique_addr(nth).to_string(), "seed": "5eed", "limits": {"sockets": 1024},
             "settings": {"az": "here", "zones": ["here"], "kinds": ["cache", "origin"], "discovery": "subscribe",
                 "familyInfo": {"mode": "aside", "originKind": 1},
                 "ceilings": {"mostShots": 6, "secondCopies": false, "cancelling": true, "probes": true, "retryAfter": true,
                     "maxRetryAfterNs": 2_000_000_000u64, "connIdleNs": 30_000_000_000u64, "connectTimeoutNs": 150_000_000},
                 "rules": {"drainGraceNs": 1_000_000_000},
-                "namespaces": [namespace("page", "free"), namespace("once", "single_shot")]}});
+                "namespaces": [namespace("page", "free"), namespace("once", "single_shot"), ordered]}});
         let resp_addr = unique_addr(nth + 1);
         let operator = format!(
             "version = 1\n[resp]\nlisten = \"{resp_addr}\"\nseeds = [\"{addr_a}\"]\nnamespace = \"page\"\n{}[[resp.prefix]]\n\
@@ -351,6 +356,29 @@
     .assert_eq(&observed);
 }
 
+/// Guards against two writes of one key at once, where the key is not the first one of a command of
+/// a namespace that keeps the order by key.
+#[test]
+fn commands_that_share_any_key_of_an_ordered_namespace_run_one_at_a_time() {
+    const ANSWER_TIME: Duration = Duration::from_millis(150); // of keys that begin with "slow"
+    let setup = ProxySetup::new("[[resp.prefix]]\nprefix = \"slow:ordered\"\nnamespace = \"ordered\"\n");
+    let mut first = setup.connect().unwrap();
+    let started = Instant::now();
+    first.write_all(b"MSET slow:ordered:{q}a 1 slow:ordered:{q}b 2\r\n").unwrap();
+    let is_sent = || setup.commands.lock().unwrap().len() == 1;
+    while !is_sent() && started.elapsed() < ANSWER_TIME {
+        sleep(Duration::from_millis(1));
+    }
+    let reply = setup.request("SET slow:ordered:{q}b 3\r\n");
+    assert_eq!(reply, "+slow\r\n");
+    assert_eq!(
+        setup.take_commands(),
+        "a: MSET slow:ordered:{q}a 1 slow:ordered:{q}b 2\na: SET slow:ordered:{q}b 3\n"
+    );
+    let elapsed = started.elapsed();
+    assert!(elapsed >= 2 * ANSWER_TIME, "both were answered within {elapsed:?}");
+}
+
 #[test]
 fn a_command_over_several_slots_is_split_where_the_operator_allows_it() {
     let setup = ProxySetup::new("split = true\n");
--- a/crates/resp-frontend/src/request.rs
+++ b/crates/resp-frontend/src/request.rs
@@ -84,7 +84,9 @@
     /// The command in the form that servers accept.
     command: Vec<u8>,
     /// The key that determines the namespace and, with the user, the request class.
-    key: String,
+    deciding_key: String,
+    /// The key by which the balancer orders requests.
+    order_key: String,
     /// The index of the namespace that the settings assign to the key.
     namespace: usize,
     /// The request class whose limits apply.
@@ -119,7 +121,8 @@
         Ok(RespRequest {
             frontend: frontend.clone(),
             command: arguments.into_resp(),
-            key: key.to_string(),
+            deciding_key: key.to_string(),
+            order_key: if engine.classes.keeps_order(namespace) { slot_key(slot) } else { key.to_string() },
             namespace,
             class,
             write,
@@ -194,6 +197,12 @@
     }
 }
 
+/// The common order key of all commands in a slot. A command may have several keys, and commands that
+/// share any of them share their slot.
+fn slot_key(slot: u16) -> String {
+    format!("slot {slot}")
+}
+
 fn attributes<'a>(namespace: usize, key: &'a str, user: &'a str) -> RequestAttributes<'a> {
     RequestAttributes { namespace, path: key, tenant: user, frontend: FRONTEND_NAME }
 }
@@ -208,7 +217,7 @@
     }
 
     fn attributes(&self) -> Option<RequestAttributes<'_>> {
-        Some(attributes(self.namespace, &self.key, &self.user))
+        Some(attributes(self.namespace, &self.deciding_key, &self.user))
     }
 
     fn received_at(&self) -> Timestamp {
@@ -216,7 +225,7 @@
     }
 
     fn key(&self) -> &str {
-        &self.key
+        &self.order_key
     }
 
     fn is_write(&self) -> bool {
