Send the parts of a split RESP command only if all of them are accepted

Callers saw: MSET over two slots whose second part is too long for its class gets "-ERR the command is longer than its class allows", although its first part has run, where the second part had to wait for an earlier command on its key.

Cause: parts were looked at one by one, each right before it was started.

Change: the terms of all parts are determined before the first part is started.

Measured: a_split_command_is_sent_only_if_all_of_its_parts_are_accepted failed on the text before ("a: MSET a 1" had been sent), and passes now.

--- a/crates/proxy/tests/resp.rs
+++ b/crates/proxy/tests/resp.rs
@@ -404,6 +404,17 @@
     .assert_eq(&observed);
 }
 
+/// Guards against a split command of which a part has run although the reply is that the command is
+/// not accepted.
+#[test]
+fn a_split_command_is_sent_only_if_all_of_its_parts_are_accepted() {
+    let setup = ProxySetup::new("split = true\n[defaults]\nlongest_body = 100\n");
+    // The second part waits for the answer to the command before it.
+    let reply = setup.request(&format!("GET slow:1\r\nMSET a 1 slow:1 {}\r\n", "v".repeat(100)));
+    assert_eq!(reply, "+slow\r\n-ERR the command is longer than its class allows\r\n");
+    assert_eq!(setup.take_commands(), "a: GET slow:1\n");
+}
+
 #[test]
 fn a_pipeline_is_answered_in_order_and_a_slow_command_delays_no_attempt() {
     let setup = ProxySetup::new("");
--- a/crates/resp-frontend/src/connection/dispatch.rs
+++ b/crates/resp-frontend/src/connection/dispatch.rs
@@ -9,7 +9,7 @@
 use crate::arguments::Arguments;
 use crate::command::{Command, CommandError, KeyedCommand, SplitCommand, classify_command};
 use crate::frontend::Frontend;
-use crate::request::{NewRequest, RequestError, RespRequest};
+use crate::request::{NewRequest, RequestError, RequestTerms, RespRequest};
 use crate::session::Session;
 use chalkwalk_resp::Writer;
 use smol::lock::Semaphore;
@@ -120,11 +120,18 @@
             command.parts.iter().flat_map(|part| part.positions.iter().copied()).collect();
         all_positions.sort_unstable();
         let index_of = |position: &usize| all_positions.partition_point(|other| other < position);
+        let part_commands: Vec<Arguments> =
+            command.parts.iter().map(|part| arguments.with_keys(&part.positions, command.step)).collect();
+        // Either all parts are accepted, or none is sent.
+        for (part, part_arguments) in command.parts.iter().zip(&part_commands) {
+            let keys = arguments.key_texts(&part.positions);
+            let user = &self.session.user;
+            RequestTerms::find(self.frontend, &keys, command.write, user, part_arguments.byte_len())?;
+        }
         let mut parts = Vec::with_capacity(command.parts.len());
-        for part in command.parts {
+        for (part, part_arguments) in command.parts.into_iter().zip(part_commands) {
             let key_indices = part.positions.iter().map(index_of).collect();
             let keys = arguments.key_texts(&part.positions);
-            let part_arguments = arguments.with_keys(&part.positions, command.step);
             let request = self.start(part_arguments, keys, part.slot, command.write).await?;
             parts.push(OpenPart { request, key_indices });
         }
--- a/crates/resp-frontend/src/request.rs
+++ b/crates/resp-frontend/src/request.rs
@@ -55,25 +55,40 @@
     ConflictingNamespaces,
 }
 
-/// The key that determines how a command is treated: one of the namespace that keeps the
-/// guarantees of the namespaces of all keys.
-struct DecidingKey<'a> {
-    key: &'a str,
+/// How a command is treated. The namespace is the one that keeps the guarantees of the namespaces of
+/// all keys.
+pub struct RequestTerms {
+    /// The first key in the namespace.
+    deciding_key: String,
     namespace: usize,
+    limits: ClassLimits,
     /// Whether replicas may answer the command.
     allow_stale_reads: bool,
 }
 
-impl<'a> DecidingKey<'a> {
-    fn find(frontend: &Frontend, keys: &'a [String], write: bool) -> Result<DecidingKey<'a>, RequestError> {
+impl RequestTerms {
+    /// Determines the terms of a command of `byte_len` bytes with these keys, which a user sent.
+    pub fn find(
+        frontend: &Frontend,
+        keys: &[String],
+        write: bool,
+        user: &str,
+        byte_len: usize,
+    ) -> Result<RequestTerms, RequestError> {
         let settings = &frontend.settings;
+        let classes = &frontend.engine.classes;
         let namespaces: Vec<usize> =
             keys.iter().map(|key| settings.namespace_of(key.as_bytes(), write)).collect();
-        let namespace = frontend.engine.classes.strictest_namespace(&namespaces);
-        let namespace = namespace.ok_or(RequestError::ConflictingNamespaces)?;
+        let namespace =
+            classes.strictest_namespace(&namespaces).ok_or(RequestError::ConflictingNamespaces)?;
         let index = namespaces.iter().position(|other| *other == namespace).unwrap_or(0);
+        let deciding_key = keys[index].clone();
+        let limits = classes.find(attributes(namespace, &deciding_key, user));
+        if byte_len as u64 > limits.max_body_bytes.max(MIN_COMMAND_LIMIT_BYTES) {
+            return Err(RequestError::TooLong);
+        }
         let allow_stale_reads = !write && settings.replicas_may_answer(&namespaces);
-        Ok(DecidingKey { key: &keys[index], namespace, allow_stale_reads })
+        Ok(RequestTerms { deciding_key, namespace, limits, allow_stale_reads })
     }
 }
 
@@ -107,24 +122,25 @@
     pub fn new(frontend: &Rc<Frontend>, new_request: NewRequest<'_>) -> Result<RespRequest, RequestError> {
         let NewRequest { arguments, keys, slot, write, user } = new_request;
         let engine = &frontend.engine;
-        let DecidingKey { key, namespace, allow_stale_reads } = DecidingKey::find(frontend, keys, write)?;
-        let ClassLimits { class, time_limit, max_body_bytes } =
-            engine.classes.find(attributes(namespace, key, user));
-        if arguments.byte_len() as u64 > max_body_bytes.max(MIN_COMMAND_LIMIT_BYTES) {
-            return Err(RequestError::TooLong);
-        }
+        let terms = RequestTerms::find(frontend, keys, write, user, arguments.byte_len())?;
+        let RequestTerms { deciding_key, namespace, limits, allow_stale_reads } = terms;
+        let order_key =
+            if engine.classes.keeps_order(namespace) { slot_key(slot) } else { deciding_key.clone() };
         let received_at = engine.clock.earliest_arrival();
         // A request whose deadline has passed is accepted here, and rejected by the balancer at
         // once.
-        let deadline =
-            may_start_request(engine.clock.now(), received_at + time_limit, engine.response_deadline());
+        let deadline = may_start_request(
+            engine.clock.now(),
+            received_at + limits.time_limit,
+            engine.response_deadline(),
+        );
         Ok(RespRequest {
             frontend: frontend.clone(),
             command: arguments.into_resp(),
-            deciding_key: key.to_string(),
-            order_key: if engine.classes.keeps_order(namespace) { slot_key(slot) } else { key.to_string() },
+            deciding_key,
+            order_key,
             namespace,
-            class,
+            class: limits.class,
             write,
             user: user.to_string(),
             received_at,
