--- a/crates/testbed/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -11,7 +11,7 @@
 /// testbed reports and its exit status: 0 if no rule was broken, 1 otherwise.
 fn run_and_list_broken_rules(experiment: &str, proxy: &str) -> String {
     let name = proxy.replace([' ', '-'], "_");
-    let json = format!("{}/{}_{name}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    let json = format!("{}/{}_{experiment}_{name}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     let file = format!("{}/tests/files/{experiment}.toml", env!("CARGO_MANIFEST_DIR"));
     let command = format!("'{TESTBED}' proxy {proxy}");
     let out = Command::new(TESTBED)
