Test of the shutdown: let only the signals come between a body's halves

The program gives 408 to a body only 2 s after its head (the first byte's wait and the head were over before); the test sent the first half, then waited for two events of other connections without a bound of its own, then sent four signals.

Change: those waits come first, and the time between the halves is part of the message, so that a further red run tells the program's fault from the test's. The checks stay.

--- a/crates/proxy/tests/sockets/leaving.rs
+++ b/crates/proxy/tests/sockets/leaving.rs
@@ -117,18 +117,22 @@
     // The time limit of 8 s is longer than the time left to the process: SIGKILL follows 3.7 s
     // after SIGTERM.
     clients.extend((0..4).map(|i| manual.send_request("once", &format!("o{i}"))));
-    let mut half_sent = TcpStream::connect(manual.addr).unwrap();
-    half_sent.write_all(b"PUT /api/h HTTP/1.1\r\nX-Correlation-Id: h\r\nX-Service-Class: once\r\nX-Time-Left: 1\r\nContent-Length: 6\r\n\r\nhal").unwrap();
     blocked.wait_connecting();
     _ = manual.next_attempt();
+    // A body may take 2 s: only the signals are between its halves.
+    let mut half_sent = TcpStream::connect(manual.addr).unwrap();
+    let half_sent_at = Instant::now();
+    half_sent.write_all(b"PUT /api/h HTTP/1.1\r\nX-Correlation-Id: h\r\nX-Service-Class: once\r\nX-Time-Left: 1\r\nContent-Length: 6\r\n\r\nhal").unwrap();
+    sleep(Duration::from_millis(50)); // the proxy has read the first half by then
     for name in ["-TERM", "-HUP", "-TERM", "-INT"] {
         manual.signal(name);
     }
     half_sent.write_all(b"ves").unwrap();
+    let took = half_sent_at.elapsed();
     clients.push(half_sent);
     for client in &mut clients {
         let answer = read_response(client);
-        assert!(answer.starts_with("50"), "{answer}");
+        assert!(answer.starts_with("50"), "{answer}, {took:?} between the halves of the body");
     }
     assert_eq!(manual.proxy.wait().unwrap().code(), Some(0));
 }
