Tests of lists and settings: wait for the event instead of a fixed time

Seen: a_list_that_starts_again_from_an_old_state_... red on busy machines with 1 to 5 attempts "while draining": its twenty requests went on past the 200 ms after which the last list, with the server as restarted, was given; attempts after that are right. new_settings_are_applied_whole_or_not_at_all, red once and not kept: it gave each of thirteen files 100 ms to be read, and two signals that are handled at once give one line.

Change: the last list is held until the requests are answered; each file is written once the log has the fault of the one before, and the valid one once the open request has reached its server. What is checked stays.

--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -22,10 +22,10 @@
 
 use expect_test::{Expect, expect};
 use serde_json::{Value, json};
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -97,17 +97,52 @@
     });
 }
 
+/// Whether the discovery service may send its last response. Until then it leaves the calls for it
+/// open, as a watch without a change.
+#[derive(Clone)]
+struct LastListGate(Arc<AtomicBool>);
+
+impl LastListGate {
+    fn closed() -> LastListGate {
+        LastListGate(Arc::new(AtomicBool::new(false)))
+    }
+
+    fn opened() -> LastListGate {
+        LastListGate(Arc::new(AtomicBool::new(true)))
+    }
+
+    fn open(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+
+    fn wait(&self) {
+        wait_for(|| self.0.load(Ordering::SeqCst));
+    }
+}
+
 /// Runs the discovery service. It answers its nth call with the nth response, or not at all where
 /// that is empty. The last response is repeated forever, after a delay of 200 ms as on a watch.
 fn serve_list(listener: TcpListener, responses: Vec<String>, count: Arc<AtomicUsize>) {
+    serve_list_with_gate(listener, responses, count, LastListGate::opened());
+}
+
+fn serve_list_with_gate(
+    listener: TcpListener,
+    responses: Vec<String>,
+    count: Arc<AtomicUsize>,
+    gate: LastListGate,
+) {
     spawn(move || {
         for mut stream in listener.incoming().flatten() {
-            let (responses, count) = (responses.clone(), count.clone());
+            let (responses, count, gate) = (responses.clone(), count.clone(), gate.clone());
             spawn(move || {
                 while read_message(&mut stream).is_some() {
                     let nth = count.fetch_add(1, Ordering::SeqCst);
-                    let immediate = nth == 0 || nth + 1 < responses.len();
-                    sleep(Duration::from_millis(if immediate { 0 } else { 200 }));
+                    let is_last = nth > 0 && nth + 1 >= responses.len();
+                    if is_last {
+                        gate.wait();
+                        sleep(Duration::from_millis(200));
+                    }
                     let body = &responses[nth.min(responses.len() - 1)];
                     if body.is_empty() {
                         continue;
@@ -189,6 +224,27 @@
     Command::new("sh").args(["-c", &command]).stderr(Stdio::piped()).spawn().unwrap()
 }
 
+/// The lines that a proxy has logged so far.
+struct LogLines(Arc<Mutex<Vec<String>>>);
+
+impl LogLines {
+    /// Starts to collect the log of a proxy that [`run`] has started.
+    fn collect(proxy: &mut Child) -> LogLines {
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (collected, stderr) = (lines.clone(), proxy.stderr.take().unwrap());
+        spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                collected.lock().unwrap().push(line);
+            }
+        });
+        LogLines(lines)
+    }
+
+    fn containing(&self, text: &str) -> Vec<String> {
+        self.0.lock().unwrap().iter().filter(|line| line.contains(text)).cloned().collect()
+    }
+}
+
 /// Waits until the condition holds, for at most 20 s. After a timeout, the assertions of the test
 /// fail.
 fn wait_for(condition: impl Fn() -> bool) {
@@ -208,6 +264,16 @@
         sockets: usize,
         shell_prefix: &str,
         lists: impl Fn(&[Value]) -> Vec<String>,
+    ) -> ProxySetup {
+        ProxySetup::with_last_list_gate(servers, sockets, shell_prefix, lists, LastListGate::opened())
+    }
+
+    fn with_last_list_gate(
+        servers: &[(&'static str, ServerScript)],
+        sockets: usize,
+        shell_prefix: &str,
+        lists: impl Fn(&[Value]) -> Vec<String>,
+        gate: LastListGate,
     ) -> ProxySetup {
         let (observed, mut entries) = (Observed::default(), Vec::new());
         for (name, script) in servers {
@@ -220,7 +286,7 @@
         }
         let (listener, list_addr) = bind_listener();
         let list_calls = Arc::new(AtomicUsize::new(0));
-        serve_list(listener, lists(&entries), list_calls.clone());
+        serve_list_with_gate(listener, lists(&entries), list_calls.clone(), gate);
         let addr = unique_address();
         let config_path = unique_path();
         let proxy = run_from(&config_path, &configuration(addr, list_addr, &entries, sockets), shell_prefix);
--- a/crates/proxy/tests/sockets/discovery.rs
+++ b/crates/proxy/tests/sockets/discovery.rs
@@ -173,16 +173,21 @@
         output.extend([full_list(5, entries), full_list(6, &restarted)]);
         output
     };
-    let setup = ProxySetup::with_options(&[("a", hit), ("b", hit)], 1024, "", lists);
+    let gate = LastListGate::closed();
+    let setup = ProxySetup::with_last_list_gate(&[("a", hit), ("b", hit)], 1024, "", lists, gate.clone());
     let request_keys =
         |client: &mut TcpStream| (0..20).for_each(|i| setup.request(client, "GET", "page", &format!("k{i}")));
-    wait_for(|| setup.list_calls.load(Ordering::SeqCst) >= 7);
+    // The call for the last list has arrived, so all lists before it are applied.
+    wait_for(|| setup.list_calls.load(Ordering::SeqCst) >= 8);
     let mut client = setup.client();
     request_keys(&mut client);
     let attempts_at_a =
         || setup.observed.lines.lock().unwrap().iter().filter(|line| line.starts_with("a:")).count();
     let drained = attempts_at_a();
-    wait_for(|| setup.list_calls.load(Ordering::SeqCst) >= 9);
+    let calls_before = setup.list_calls.load(Ordering::SeqCst);
+    gate.open();
+    // The next call follows once the last list is applied.
+    wait_for(|| setup.list_calls.load(Ordering::SeqCst) > calls_before);
     sleep(Duration::from_millis(50));
     request_keys(&mut client);
     expect!["0 attempts while draining, 8 after its restart"]
--- a/crates/proxy/tests/sockets/operators.rs
+++ b/crates/proxy/tests/sockets/operators.rs
@@ -270,6 +270,7 @@
 #[test]
 fn new_settings_are_applied_whole_or_not_at_all() {
     let mut setup = ProxySetup::new(&[("amber", slow)]);
+    let log = LogLines::collect(&mut setup.proxy);
     let read =
         || serde_json::from_str::<Value>(&std::fs::read_to_string(&setup.config_path).unwrap()).unwrap();
     let classes = |setup: &ProxySetup| {
@@ -309,10 +310,11 @@
         with_value("/settings/ceilings/mostShots", json!(2.5)),
         with_value("/settings/namespaces/1/name", json!("page")),
     ];
-    for text in invalid {
+    for (nth, text) in invalid.into_iter().enumerate() {
         std::fs::write(&setup.config_path, text).unwrap();
         setup.signal("-HUP");
-        sleep(Duration::from_millis(100));
+        // Each of these files has one error.
+        wait_for(|| log.containing("new configuration rejected").len() > nth);
     }
     setup.observed.record(format!("after invalid files: {}", classes(&setup)));
     let mut open = setup.client();
@@ -321,20 +323,18 @@
     fresh["settings"]["namespaces"][1]["name"] = json!("fresh");
     fresh["settings"]["ceilings"]["mostShots"] = json!(1);
     std::fs::write(&setup.config_path, fresh.to_string()).unwrap();
-    sleep(Duration::from_millis(100));
+    let is_open = |line: &String| line.starts_with("amber: GET /api/open");
+    wait_for(|| setup.observed.lines.lock().unwrap().iter().any(is_open));
     setup.signal("-HUP");
+    wait_for(|| !log.containing("configuration reloaded").is_empty());
     setup.record_response(&mut open);
     setup.observed.record(format!("after a valid file: {}", classes(&setup)));
     setup.observed.lines.lock().unwrap().retain(|line| !line.starts_with("amber"));
-    setup.signal("-KILL");
-    let mut log = String::new();
-    setup.proxy.stderr.take().unwrap().read_to_string(&mut log).unwrap();
-    for line in log.lines() {
-        if let Some((_, fault)) = line.split_once("rejected, fault: ") {
-            // The position in the file depends on the ports in it.
-            let fault = fault.split(" at line").next().unwrap().trim_end_matches(", proxy: p");
-            setup.observed.record(fault.replace(&setup.config_path, "FILE"));
-        }
+    for line in log.containing("rejected, fault: ") {
+        let (_, fault) = line.split_once("rejected, fault: ").unwrap();
+        // The position in the file depends on the ports in it.
+        let fault = fault.split(" at line").next().unwrap().trim_end_matches(", proxy: p");
+        setup.observed.record(fault.replace(&setup.config_path, "FILE"));
     }
     setup.assert_observed(expect![[r#"
         before: 200 200 400
