Repeat a call sooner that discovery refuses at once

Callers saw: requests may go to a draining server after its grace. If discovery refuses connections, is back and then answers 503 at once to two calls of a process, that process has its list up to 7.1 s after the return, where 6 s are allowed whatever was refused before.

Cause: each backoff may use all of the 3.75 s that the limit leaves between two calls, as if the limit began anew with every failed call.

Change: backoff_after_refusal, a pure function. The time counts from the last call that reached no service, or from the first refused one: half of what is left is used, then a call follows each 0.25 to 0.5 s until the 6 s are over, then the usual backoff. Only for lists that are polled and calls that were refused within 1 s. New log event: discovery call refused.

--- a/crates/balancer/src/discovery.rs
+++ b/crates/balancer/src/discovery.rs
@@ -13,6 +13,9 @@
 //! | the next call's wait in the queue of the service | [`MAX_QUEUE_WAIT`] |
 //!
 //! The first part is spent on a call that fails because discovery was unreachable when it began.
+//! A call that a service refuses at once because it has too many callers is repeated sooner, as the
+//! time of the failed calls before it counts: see [`backoff_after_refusal`].
+//!
 //! At most [`MAX_CALL_INTERVAL`] passes between the beginning of a failed call and that of the next
 //! one; this is checked at run time.
 //!
@@ -96,6 +99,37 @@
     interval <= MAX_CALL_INTERVAL.max(watch_interval) + HEADROOM
 }
 
+/// The longest backoff after a refused call for which no call within the limit is left.
+const MAX_BACKOFF_PAST_LIMIT: Span = MIN_BACKOFF.times(2);
+
+/// The backoff after a call that a service refused at once because it has too many callers. The
+/// service was reachable then, and may have been for `may_miss_changes_for`, the time since the
+/// proxy last had its list or called a service that it could not reach: changes since then count as
+/// notified [`MAX_NOTIFICATION_DELAY`] after they were made, whether or not calls are refused.
+///
+/// Until the last call that keeps to this limit is due, half of the time left for it is used. From
+/// then on until the limit is over, an answer may still come in time if the queue is short. `None`
+/// if it is over: the usual [`Backoff`] applies.
+pub fn backoff_after_refusal(
+    may_miss_changes_for: Span,
+    random_below: impl FnOnce(Span) -> Span,
+) -> Option<Span> {
+    if may_miss_changes_for >= MAX_NOTIFICATION_DELAY {
+        return None;
+    }
+    let time_left = MAX_CALL_INTERVAL.saturating_sub(may_miss_changes_for);
+    let max_backoff = (time_left / 2).max(MAX_BACKOFF_PAST_LIMIT);
+    let backoff = MIN_BACKOFF + random_below(max_backoff - MIN_BACKOFF);
+    // The last call within the limit is not missed by a fraction of a backoff.
+    Some(if time_left > Span::ZERO { backoff.min(time_left) } else { backoff })
+}
+
+/// Whether a refused call that took this long was refused at once, and not after a wait in the
+/// queue.
+pub fn was_refused_at_once(took: Span) -> bool {
+    took < MIN_QUEUED_CALL_TIME
+}
+
 /// Counts the calls to discovery that failed in a row.
 #[derive(Default)]
 pub(crate) struct DiscoveryCalls {
--- a/crates/balancer/tests/decisions/main.rs
+++ b/crates/balancer/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod concurrency_limit;
 mod connections;
+mod discovery;
 mod endpoints;
 mod helper;
 mod key_order;
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -6,10 +6,12 @@
 use crate::timing;
 use crate::watch_state::{LastCall, WatchState};
 use chalkwalk_balancer::admission::Violation;
-use chalkwalk_balancer::discovery::{OLDER_CALL_TIMEOUT, call_interval_allowed};
+use chalkwalk_balancer::discovery::{
+    OLDER_CALL_TIMEOUT, backoff_after_refusal, call_interval_allowed, was_refused_at_once,
+};
 use chalkwalk_engine::api;
 use chalkwalk_engine::engine::Engine;
-use chalkwalk_sockets::with_deadline;
+use chalkwalk_sockets::{with_deadline, with_timeout};
 use chalkwalk_time::Span;
 use fastrand::Rng;
 use slog::{info, warn};
@@ -110,6 +112,15 @@
     }
 }
 
+impl Caller<'_> {
+    /// Prepares the next call for the address to which the service has moved.
+    fn use_changed_address(&mut self) {
+        info!(self.engine.log, "discovery moved"; "address" => %self.address.address());
+        self.state.reset_for_new_address();
+        self.connection.take();
+    }
+}
+
 /// A call that is still waited for although a newer one was started in parallel.
 struct OlderCall<'a> {
     call: Call<'a>,
@@ -220,12 +231,51 @@
         }
         // Only a report of overload proves that the service is still the one that sent the current
         // version. After any other error the full list is requested.
-        self.caller.state.incremental &= matches!(error, CallError::Busy);
+        let refused = matches!(error, CallError::Busy);
+        self.caller.state.incremental &= refused;
+        self.caller.state.record_failure(self.current.started_at, refused);
         if self.wait_for_older_response().await {
             self.current = self.caller.start();
             return Ok(());
         }
-        Err(WatchFailure::from_call(&self.current, error.to_string()))
+        match self.backoff_after_refusal(refused) {
+            Some(backoff) => {
+                self.repeat_refused_call(error, backoff).await;
+                Ok(())
+            }
+            None => Err(WatchFailure::from_call(&self.current, error.to_string())),
+        }
+    }
+
+    /// How long to wait before a call that was refused at once is repeated; `None` if the usual
+    /// backoff applies. A list that is pushed comes from the process's own agent, whose calls are
+    /// repeated sooner in any case.
+    fn backoff_after_refusal(&mut self, refused: bool) -> Option<Span> {
+        let may_miss_changes_since = self.caller.state.may_miss_changes_since?;
+        if !refused
+            || !was_refused_at_once(self.current.elapsed())
+            || self.caller.engine.classes.is_list_pushed()
+        {
+            return None;
+        }
+        let random = &mut *self.caller.random;
+        let random_below = |limit: Span| Span::from_ticks(random.u64(0..limit.ticks().max(1)));
+        backoff_after_refusal(Span::from(may_miss_changes_since.elapsed()), random_below)
+    }
+
+    async fn repeat_refused_call(&mut self, error: CallError, backoff: Span) {
+        warn!(self.caller.engine.log, "discovery call refused";
+            "call" => self.current.number, "fault" => error.to_string(), "rest_ms" => backoff.as_millis());
+        let address = self.caller.address;
+        let address_changed = async {
+            if !address.wait_for_change().await {
+                pending::<()>().await;
+            }
+        };
+        if with_timeout(Duration::from(backoff), address_changed).await.is_some() {
+            self.caller.use_changed_address();
+        }
+        self.current = self.caller.start();
     }
 
     /// Waits for the response of the older call, which may still deliver what the newer call did
@@ -244,6 +294,7 @@
     async fn repeat_call(&mut self, error: String) -> Result<(), WatchFailure> {
         self.older = None;
         let state = &mut *self.caller.state;
+        state.record_failure(self.current.started_at, false);
         let may_repeat = state.incremental && !state.last_response_unusable;
         state.incremental = false;
         state.last_response_unusable = true;
@@ -272,9 +323,7 @@
     }
 
     fn on_address_change(&mut self) {
-        info!(self.caller.engine.log, "discovery moved"; "address" => %self.caller.address.address());
-        self.caller.state.reset_for_new_address();
-        self.caller.connection.take();
+        self.caller.use_changed_address();
         self.start_parallel_call(true);
     }
 
--- a/crates/discovery/src/watch_state.rs
+++ b/crates/discovery/src/watch_state.rs
@@ -27,6 +27,9 @@
     pub last_call: Option<LastCall>,
     /// When a response was last accepted.
     pub accepted_at: Option<Instant>,
+    /// Since when changes may be missed: the beginning of the last failed call, or of the first one
+    /// in a row that the service refused as it has too many callers. `None` while calls succeed.
+    pub may_miss_changes_since: Option<Instant>,
 }
 
 /// The call that was started last.
@@ -49,6 +52,16 @@
             call_count: 0,
             last_call: None,
             accepted_at: None,
+            may_miss_changes_since: None,
+        }
+    }
+
+    /// Records that a call failed. `refused` states whether the service refused it because it has
+    /// too many callers.
+    pub fn record_failure(&mut self, call_started_at: Instant, refused: bool) {
+        match refused {
+            true => _ = self.may_miss_changes_since.get_or_insert(call_started_at),
+            false => self.may_miss_changes_since = Some(call_started_at),
         }
     }
 
@@ -92,6 +105,7 @@
         self.incremental = true;
         self.immediate = false;
         self.accepted_at = Some(Instant::now());
+        self.may_miss_changes_since = None;
         Ok(())
     }
 
--- a/crates/engine/src/classes.rs
+++ b/crates/engine/src/classes.rs
@@ -11,6 +11,7 @@
 const PROXIES_SETTING: &str = "proxies";
 const ZONE_SETTING: &str = "zone";
 const NAMESPACES_SETTING: &str = "namespaces";
+const WATCHED_SETTING: &str = "watched";
 
 /// The request classes under the active settings and limits.
 pub struct RequestClasses {
@@ -102,6 +103,12 @@
         self.active.borrow().settings.clone()
     }
 
+    /// Whether the platform pushes its endpoint list to an agent of this proxy, instead of the proxy
+    /// polling it.
+    pub fn is_list_pushed(&self) -> bool {
+        self.active.borrow().settings.get(WATCHED_SETTING).is_some_and(|watched| watched == "0")
+    }
+
     /// The class of a request, and its limits.
     pub fn find(&self, request: RequestAttributes) -> ClassLimits {
         let table = self.table();
--- a/crates/proxy/src/endpoint_source.rs
+++ b/crates/proxy/src/endpoint_source.rs
@@ -131,9 +131,7 @@
     /// Whether the platform pushes its list to an agent of this proxy, instead of the proxy polling
     /// it.
     pub fn is_pushed(&self, engine: &Engine) -> bool {
-        let settings = engine.classes.platform_settings();
-        let is_unwatched = settings.get("watched").is_some_and(|watched| watched == "0");
-        matches!(self, EndpointSource::Platform(_)) && is_unwatched
+        matches!(self, EndpointSource::Platform(_)) && engine.classes.is_list_pushed()
     }
 
     /// Applies a reloaded configuration. `address` is the address of the platform's list in it.
--- a/crates/proxy/tests/discovery_outage.rs
+++ b/crates/proxy/tests/discovery_outage.rs
@@ -22,6 +22,8 @@
 const DRAIN_GRACE: Duration = Duration::from_secs(1);
 /// Delay that a loaded machine may add between a proxy's write and the test server's read.
 const LOAD_SLACK: Duration = Duration::from_millis(200);
+/// How many calls of each process a busy service refuses.
+const BUSY_CALLS: usize = 2;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 const SERVERS: [&str; 3] = ["draining", "steady-1", "steady-2"];
 
@@ -30,6 +32,9 @@
 enum Outage {
     /// Nothing listens on the address.
     Refuses,
+    /// Nothing listens on the address, and the first [`BUSY_CALLS`] calls of each process after the
+    /// recovery are answered with status 503 at once, as by a service that has too many callers.
+    RefusesThenBusy,
     /// Connections are accepted and reset.
     Resets,
     /// Calls are answered with status 503 at once.
@@ -47,9 +52,29 @@
     recovered_at: Mutex<Option<Instant>>,
     /// When each process got its first response after the recovery, by process number.
     first_answers: Mutex<Vec<Option<Instant>>>,
+    /// How often each process has called a busy service, by process number.
+    calls_since_recovery: Mutex<Vec<usize>>,
+}
+
+const UNAVAILABLE_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
+impl Outage {
+    fn closes_listener(self) -> bool {
+        matches!(self, Outage::Refuses | Outage::RefusesThenBusy)
+    }
 }
 
 impl Discovery {
+    /// Whether this call of a process is refused because the service has too many callers.
+    fn refuses_as_busy(&self, process: usize) -> bool {
+        if self.outage != Outage::RefusesThenBusy || self.version() == 1 {
+            return false;
+        }
+        let calls = &mut self.calls_since_recovery.lock().unwrap()[process];
+        *calls += 1;
+        *calls <= BUSY_CALLS
+    }
+
     fn is_down(&self) -> bool {
         self.down.load(Ordering::SeqCst)
     }
@@ -103,6 +128,9 @@
             sleep(Duration::from_millis(5));
         }
     }
+    if discovery.refuses_as_busy(process) {
+        return stream.write_all(UNAVAILABLE_RESPONSE).is_ok();
+    }
     let version = discovery.version();
     let body = server_list(servers, version);
     let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
@@ -114,10 +142,8 @@
         return written;
     }
     match discovery.outage {
-        Outage::Refuses | Outage::Resets => false,
-        Outage::Unavailable => {
-            stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").is_ok()
-        }
+        Outage::Refuses | Outage::RefusesThenBusy | Outage::Resets => false,
+        Outage::Unavailable => stream.write_all(UNAVAILABLE_RESPONSE).is_ok(),
         Outage::Silent => read_head(stream).is_some(),
         Outage::HalfAnswer => {
             _ = stream.write_all(&response.as_bytes()[..response.len() / 2]);
@@ -140,7 +166,7 @@
                 continue;
             };
             listener.set_nonblocking(true).unwrap();
-            while !(discovery.is_down() && discovery.outage == Outage::Refuses) {
+            while !(discovery.is_down() && discovery.outage.closes_listener()) {
                 let Ok((mut stream, _)) = listener.accept() else {
                     sleep(Duration::from_millis(2));
                     continue;
@@ -277,6 +303,7 @@
         down: AtomicBool::new(false),
         recovered_at: Mutex::new(None),
         first_answers: Mutex::new(vec![None; PROCESSES]),
+        calls_since_recovery: Mutex::new(vec![0; PROCESSES]),
     });
     let last_sends: LastSends = Arc::new(Mutex::new(vec![None; PROCESSES]));
     let servers: Vec<SocketAddr> =
@@ -328,6 +355,13 @@
     run_outage(Outage::Refuses);
 }
 
+/// Guards against a backoff after a refused call that is as long as after a failed one: both
+/// together exceed the time within which a drain counts as notified.
+#[test]
+fn after_refused_connections_and_refused_calls_a_drain_is_notified_in_time() {
+    run_outage(Outage::RefusesThenBusy);
+}
+
 #[test]
 fn after_reset_connections_a_drain_is_notified_in_time() {
     run_outage(Outage::Resets);
@@ -358,6 +392,7 @@
         down: AtomicBool::new(false),
         recovered_at: Mutex::new(None),
         first_answers: Mutex::new(vec![None]),
+        calls_since_recovery: Mutex::new(vec![0]),
     });
     let last_sends: LastSends = Arc::new(Mutex::new(vec![None]));
     let servers: Vec<SocketAddr> =
@@ -370,7 +405,7 @@
         for mut stream in rejecting.incoming().flatten() {
             while read_head(&mut stream).is_some() {
                 rejected.fetch_add(1, Ordering::SeqCst);
-                _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                _ = stream.write_all(UNAVAILABLE_RESPONSE);
             }
         }
     });
