Testbed: a stale answer of discovery opens no grace for later changes

Cause, by the log of proxy 0: during list-old it accepts version 18 at 22.9 s, which is 5 s old and equal to its own. Its watch is answered with version 18 again, although 19 and 20 exist, and the 200 ms in which a watch goes on then covered all changes since version 18: the drain of 21.2 s counted as notified at 21.2 s, 1.7 s before the answer. So attempts at 22.27 to 22.35 s were breaches that are none.

Change: a stale answer notifies of nothing, as the comment beside it and the spans of presumed notifications have it, and so opens no grace. The limit of 6 s after the service is up to date again stays.

--- a/crates/testbed/src/simulated_services/list.rs
+++ b/crates/testbed/src/simulated_services/list.rs
@@ -52,6 +52,13 @@
     }
 }
 
+/// A response to a call.
+struct Answer {
+    version: u64,
+    /// Whether the response holds an old list although the service has a newer one.
+    is_stale: bool,
+}
+
 /// A response to a watch.
 #[derive(Clone, Copy)]
 struct WatchAnswer {
@@ -139,9 +146,14 @@
                 return self.fail(connection, outage).await;
             }
         }
-        let Some(version) = self.answer(connection, &call).await else { return AfterCall::Close };
+        let Some(answer) = self.answer(connection, &call).await else { return AfterCall::Close };
+        if answer.is_stale {
+            // A service that is stale notifies the proxy of nothing until it is up to date again.
+            return AfterCall::Answered(None);
+        }
         let answered_at = services.clock.now();
         let call_count = services.list_calls[self.proxy].load(Ordering::Relaxed);
+        let version = answer.version;
         let answer = WatchAnswer { version, called_at: call.received_at, answered_at, call_count };
         AfterCall::Answered(call.index.map(|_| answer))
     }
@@ -263,13 +275,14 @@
         }
     }
 
-    /// Answers a call and returns the version that was sent; `None` if the connection is closed.
-    async fn answer(&self, connection: &Connection, call: &Call) -> Option<u64> {
+    /// Answers a call; `None` if the connection is closed.
+    async fn answer(&self, connection: &Connection, call: &Call) -> Option<Answer> {
         let services = self.services;
         let now = services.clock.now();
-        let stale = services.timelines.stale_list_spans.iter().any(|span| span.contains(&now));
-        let version = services.server_list.version(if stale { now.saturating_sub(STALE_AGE) } else { now });
-        let full = stale || call.index.is_none_or(|index| index > version);
+        let is_stale = services.timelines.stale_list_spans.iter().any(|span| span.contains(&now));
+        let version =
+            services.server_list.version(if is_stale { now.saturating_sub(STALE_AGE) } else { now });
+        let full = is_stale || call.index.is_none_or(|index| index > version);
         let entries = match call.index {
             Some(index) if !full => services.server_list.changes_since(index, version),
             _ => services.server_list.snapshot(version),
@@ -278,17 +291,17 @@
         let text = json!({"version": version, "full": full, "servers": servers}).to_string();
         let head = response_head(200, text.len(), JSON_HEADER);
         connection.write(&[head.as_bytes(), text.as_bytes()]).await.ok()?;
-        if stale {
+        if is_stale {
             // A stale response notifies the proxy of nothing new and revokes no earlier
             // notification.
-            return Some(version);
+            return Some(Answer { version, is_stale });
         }
         let now = services.clock.now();
         self.record_notified(call.received_at, &entries, now);
         if full {
             self.record_notified(call.received_at, &missing_servers(&entries, services.origin_index()), now);
         }
-        Some(version)
+        Some(Answer { version, is_stale })
     }
 }
 
