One type for idempotency and its groups, and a module for calls to discovery

Change: both enums are the limits', which the balancer depends on, with one from_setting each. Caller, which starts the calls and checks their interval, has a file of its own.

--- a/crates/balancer/src/balancer/attempts.rs
+++ b/crates/balancer/src/balancer/attempts.rs
@@ -8,8 +8,8 @@
 use super::retry::RetryCost;
 use crate::effects::Effects;
 use crate::request::Attempt;
-use crate::request_class::Idempotency;
 use crate::types::{AttemptOutcome, RequestId, ServerIndex};
+use chalkwalk_limits::Idempotency;
 use chalkwalk_time::Span;
 
 impl Balancer {
--- a/crates/balancer/src/balancer/repeats.rs
+++ b/crates/balancer/src/balancer/repeats.rs
@@ -5,8 +5,8 @@
 use super::Balancer;
 use crate::admission::{SendRefusal, UnsentAttempt};
 use crate::request::{Attempt, Request};
-use crate::request_class::{DedupGroup, Idempotency};
 use crate::types::ServerIndex;
+use chalkwalk_limits::{DedupGroup, Idempotency};
 use chalkwalk_time::Timestamp;
 
 impl Balancer {
--- a/crates/balancer/src/request_class.rs
+++ b/crates/balancer/src/request_class.rs
@@ -1,35 +1,12 @@
 //! Classes of requests: the limits and guarantees that apply to the requests of each class.
 
 use crate::values::Values;
-use chalkwalk_limits::RetryBudget;
+use chalkwalk_limits::{DedupGroup, Idempotency, RetryBudget};
 use chalkwalk_time::Span;
 use std::cell::Cell;
 use std::ops::Deref;
 use std::rc::Rc;
 
-/// Whether a request may run twice.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum Idempotency {
-    /// Repeating the request does no harm.
-    Replayable,
-    /// Servers recognize a repeat by its tag, and drop it if it arrives within the deduplication
-    /// window of the class.
-    Tagged,
-    /// A repeat is never allowed.
-    #[default]
-    SingleUse,
-}
-
-/// Which servers drop the repeat of a tagged request: those that share the record of tags that they
-/// have seen.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum DedupGroup {
-    All,
-    Zone,
-    #[default]
-    Cell,
-}
-
 /// The settings for the requests of one namespace, or of one class of a namespace.
 #[derive(Default)]
 pub(crate) struct RequestClass {
@@ -63,16 +40,8 @@
             target: values.span(&setting("target time"), 1e4),
             in_order: values.flag(&setting("in order")),
             late_answers_useful: values.flag(&setting("late utility")),
-            idempotency: match values.text(&setting("repeats")) {
-                "replayable" => Idempotency::Replayable,
-                "tagged" => Idempotency::Tagged,
-                _ => Idempotency::SingleUse,
-            },
-            dedup_group: match values.text(&setting("group")) {
-                "all" => DedupGroup::All,
-                "zone" => DedupGroup::Zone,
-                _ => DedupGroup::Cell,
-            },
+            idempotency: Idempotency::from_setting(values.text(&setting("repeats"))),
+            dedup_group: DedupGroup::from_setting(values.text(&setting("group"))),
             dedup_window: values.span(&setting("window"), 0.0),
             max_attempts: values.number(&setting("most shots"), values.number("most shots", 1.0)) as usize,
             hedging: values.number(&setting("second copies"), values.number("second copies", 0.0)) > 0.0,
--- a/crates/balancer/tests/decisions/discovery.rs
+++ b/crates/balancer/tests/decisions/discovery.rs
@@ -15,7 +15,7 @@
     let mut now = first_call;
     while let Some(backoff) = backoff_after_refusal(now, random_below) {
         assert!(backoff > Span::ZERO, "a busy loop at {now:?}");
-        now = now + backoff;
+        now += backoff;
         calls.push(now);
     }
     calls
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! - `startup` reads the configuration file; `field_paths` detects a later file that lacks fields
 //!   of the first.
-//! - `watch` keeps the endpoint list up to date with one call after the other; `watch_state` holds
-//!   what is known from the calls so far.
+//! - `watch` keeps the endpoint list up to date with one call after the other, which `caller`
+//!   starts; `watch_state` holds what is known from the calls so far.
 //! - `call` makes a single HTTP call; `timing` defines how long a call may take.
 //! - `list` parses and applies a response; `list_state` tracks the version of the list and decides
 //!   whether a lower version is trusted.
@@ -15,6 +15,7 @@
 
 mod address;
 mod call;
+mod caller;
 mod field_paths;
 mod list;
 mod list_state;
--- a/crates/discovery/src/startup.rs
+++ b/crates/discovery/src/startup.rs
@@ -205,16 +205,8 @@
         name: name.to_string(),
         time_limit: Span::from_ticks(time_limit as u64),
         latency_objective: values.span(&setting("target time"), DEFAULT_TIME_TICKS),
-        idempotency: match values.text(&setting("repeats")) {
-            "replayable" => Idempotency::Replayable,
-            "tagged" => Idempotency::Tagged,
-            _ => Idempotency::SingleUse,
-        },
-        dedup_group: match values.text(&setting("group")) {
-            "all" => DedupGroup::All,
-            "zone" => DedupGroup::Zone,
-            _ => DedupGroup::Cell,
-        },
+        idempotency: Idempotency::from_setting(values.text(&setting("repeats"))),
+        dedup_group: DedupGroup::from_setting(values.text(&setting("group"))),
         dedup_window: values.span(&setting("window"), 0.0),
         in_order: values.number(&setting("in order"), 0.0) > 0.0,
     }
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -3,12 +3,10 @@
 
 use crate::address::DiscoveryAddress;
 use crate::call::{Call, CallError, CallResult, ReusableConnection};
+use crate::caller::Caller;
 use crate::timing;
-use crate::watch_state::{LastCall, WatchState};
-use chalkwalk_balancer::admission::Violation;
-use chalkwalk_balancer::discovery::{
-    OLDER_CALL_TIMEOUT, backoff_after_refusal, call_interval_allowed, was_refused_at_once,
-};
+use crate::watch_state::WatchState;
+use chalkwalk_balancer::discovery::{OLDER_CALL_TIMEOUT, backoff_after_refusal, was_refused_at_once};
 use chalkwalk_engine::api;
 use chalkwalk_engine::engine::Engine;
 use chalkwalk_sockets::{with_deadline, with_timeout};
@@ -83,44 +81,6 @@
     }
 }
 
-/// Makes the calls of one watch.
-struct Caller<'a> {
-    engine: &'a Rc<Engine>,
-    address: &'a DiscoveryAddress,
-    connection: &'a ReusableConnection,
-    state: &'a mut WatchState,
-    random: &'a mut Rng,
-}
-
-impl<'a> Caller<'a> {
-    /// Starts the next call. A call that starts later than the notification deadline allows is
-    /// counted as a violation.
-    fn start(&mut self) -> Call<'a> {
-        self.state.call_count += 1;
-        let request = self.state.next_request(self.random);
-        let call = Call::start(self.address, self.connection, self.state.call_count, request);
-        let last_call =
-            self.state.last_call.replace(LastCall { started_at: call.started_at, wait: call.wait });
-        let in_time = last_call.is_none_or(|last_call| {
-            call_interval_allowed(
-                Span::from(call.started_at - last_call.started_at),
-                Span::from(last_call.wait),
-            )
-        });
-        self.engine.violations.check(&self.engine.log, (!in_time).then_some(Violation::DiscoveryNotCalled));
-        call
-    }
-}
-
-impl Caller<'_> {
-    /// Prepares the next call for the address to which the service has moved.
-    fn use_changed_address(&mut self) {
-        info!(self.engine.log, "discovery moved"; "address" => %self.address.address());
-        self.state.reset_for_new_address();
-        self.connection.take();
-    }
-}
-
 /// A call that is still waited for although a newer one was started in parallel.
 struct OlderCall<'a> {
     call: Call<'a>,
--- a/crates/limits/src/platform.rs
+++ b/crates/limits/src/platform.rs
@@ -3,7 +3,7 @@
 use chalkwalk_time::Span;
 
 /// Whether a request may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Idempotency {
     /// The request may be repeated any number of times.
     Replayable,
@@ -11,9 +11,21 @@
     /// the namespace's `dedup_window`.
     Tagged,
     /// The request must not run more than once.
+    #[default]
     SingleUse,
 }
 
+impl Idempotency {
+    /// Reads the value of the setting `repeats`. Anything unknown is the strictest value.
+    pub fn from_setting(text: &str) -> Idempotency {
+        match text {
+            "replayable" => Idempotency::Replayable,
+            "tagged" => Idempotency::Tagged,
+            _ => Idempotency::SingleUse,
+        }
+    }
+}
+
 /// Which servers drop the repeats of a tagged request: those that share the record of the
 /// idempotency keys that they have seen. Ordered from the widest group to the narrowest.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -27,6 +39,17 @@
     Cell,
 }
 
+impl DedupGroup {
+    /// Reads the value of the setting `group`. Anything unknown is the narrowest group.
+    pub fn from_setting(text: &str) -> DedupGroup {
+        match text {
+            "all" => DedupGroup::All,
+            "zone" => DedupGroup::Zone,
+            _ => DedupGroup::Cell,
+        }
+    }
+}
+
 /// The platform's limits for the requests of one namespace.
 #[derive(Clone, Debug)]
 pub struct Namespace {
