Let the kernel take a slow client's answer again, and bound the wait to 20 s

Change: that limit goes, for HTTP and RESP. A client that stops is noticed later by the part that the kernel holds, so what a peer may let the writer wait is 20 s at most, in place of 30 s. At 64 kB a second that is enough for the steps of a receive buffer of 10 MB.

--- a/crates/http-frontend/src/write_reply.rs
+++ b/crates/http-frontend/src/write_reply.rs
@@ -2,7 +2,7 @@
 
 use crate::reply::Reply;
 use chalkwalk_engine::response::BodyStream;
-use chalkwalk_sockets::{PacedWriter, WriteError, limit_unsent_bytes, read_more, with_timeout};
+use chalkwalk_sockets::{PacedWriter, WriteError, read_more, with_timeout};
 use smol::Async;
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
@@ -109,7 +109,6 @@
 ) -> ReplyOutcome {
     let framing = Framing::new(body.content_length, options.is_http10);
     let close = options.close || framing == Framing::UntilClose;
-    limit_unsent_bytes(stream);
     let mut writer = ReplyWriter::new(stream);
     let written = stream_body(&mut writer, reply, body, framing, close).await;
     if written.is_ok() && !close {
--- a/crates/resp-frontend/src/connection/reply_writer.rs
+++ b/crates/resp-frontend/src/connection/reply_writer.rs
@@ -4,7 +4,7 @@
 use super::pending_reply::ResolvedReply;
 use chalkwalk_engine::budget::Permit;
 use chalkwalk_engine::engine::ClientConnection;
-use chalkwalk_sockets::{PacedWriter, WriteError, limit_unsent_bytes};
+use chalkwalk_sockets::{PacedWriter, WriteError};
 use smol::Async;
 use smol::channel::Receiver;
 use std::net::TcpStream;
@@ -45,7 +45,6 @@
     unread: &UnreadBytes,
     connection: &ClientConnection,
 ) {
-    limit_unsent_bytes(stream);
     let mut writer = PacedWriter::new(stream, WRITE_ALLOWANCE);
     let mut not_ready: Option<QueuedReply> = None;
     loop {
--- a/crates/sockets/src/paced_writer.rs
+++ b/crates/sockets/src/paced_writer.rs
@@ -18,11 +18,8 @@
 /// reads at 64 kB per second is served with a margin of a factor of two.
 const MIN_READ_BYTES_PER_SECOND: u64 = 32_000;
 /// Maximum time that a peer may let the writer wait without accepting a byte, however much it has
-/// accepted before. At 64 kB per second a receive buffer of 15 MB opens its window in this time.
-const MAX_ALLOWANCE: Duration = Duration::from_secs(30);
-/// Maximum number of bytes that wait in the kernel to be sent. Without this limit a send buffer of
-/// megabytes is filled, and it takes minutes to notice that a peer reads too slowly.
-const MAX_UNSENT_BYTES: u32 = 128 << 10;
+/// accepted before. At 64 kB per second a receive buffer of 10 MB opens its window in this time.
+const MAX_ALLOWANCE: Duration = Duration::from_secs(20);
 
 /// Why a write failed.
 #[derive(Debug)]
@@ -111,11 +108,3 @@
         Ok(written)
     }
 }
-
-/// Limits the bytes that wait in the kernel to be sent on a stream, so that a peer that reads
-/// slowly is noticed early and holds little memory. Bytes on their way to the peer do not count, so
-/// the throughput of a fast peer is not limited.
-pub fn limit_unsent_bytes(stream: &Async<TcpStream>) {
-    // Where the system does not support the option, slow peers are only noticed later.
-    _ = socket2::SockRef::from(stream.get_ref()).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
-}
