--- a/crates/engine/src/classes.rs
+++ b/crates/engine/src/classes.rs
@@ -11,7 +11,9 @@
 const PROXIES_SETTING: &str = "proxies";
 const ZONE_SETTING: &str = "zone";
 const NAMESPACES_SETTING: &str = "namespaces";
-const WATCHED_SETTING: &str = "watched";
+/// "1" if the endpoint list is watched, and the balancer itself requests the watches; "0" if the list
+/// is pushed.
+pub(crate) const WATCHED_SETTING: &str = "watched";
 
 /// The request classes under the active settings and limits.
 pub struct RequestClasses {
--- a/crates/engine/src/request_table.rs
+++ b/crates/engine/src/request_table.rs
@@ -4,6 +4,7 @@
 
 mod servers;
 
+use crate::classes::WATCHED_SETTING;
 use crate::effect_sink::{AttemptId, Command, EffectSink, OpenRequest, PendingAttempt, Signals};
 use crate::response::{ClientRequest, Response, ResponseStatus};
 use crate::servers::ServerRegistry;
@@ -16,9 +17,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// The setting that is "1" if the balancer itself requests watches of the endpoint list.
-const WATCHED_SETTING: &str = "watched";
-
 /// The open requests and the balancer that routes them.
 pub struct RequestTable {
     balancer: Balancer,
