Review case 9: after an upgrade a node is used that the old process knew to drain

Cause: the handover does not carry drains; a new process that gets no list within 4 s serves with the configuration's. Change: a case with its test and a stand-in for discovery.

--- a/review/kit-2/cases.rs
+++ b/review/kit-2/cases.rs
@@ -4,8 +4,10 @@
 mod common;
 mod drain;
 mod gone;
+mod handover;
 mod memory;
 mod order;
+mod platform;
 mod restart;
 
 use common::{CaseResult, Record};
@@ -30,6 +32,7 @@
         "order" => order::run,
         "memory" => memory::run,
         "restart" => restart::run,
+        "handover" => handover::run,
         "gone" => gone::run,
         "drain" => drain::run,
         _ => {
--- a/review/kit-2/order.rs
+++ b/review/kit-2/order.rs
@@ -1,6 +1,7 @@
 //! An upgrade: two processes of one proxy serve at the same time, and lookups with one key come to both.
 
 use crate::common::*;
+use crate::platform::{Discovery, wait_until_ready};
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -44,25 +45,6 @@
     }))
 }
 
-/// The list: it never changes. A watch is answered after its wait.
-fn discovery(nodes: &[SocketAddr]) -> CaseResult<(SocketAddr, String)> {
-    let entry = |(number, addr): (usize, &SocketAddr)| {
-        format!(
-            r#"{{"id":"s-{number}","addr":"{addr}","zone":"bratislava-dc","kind":"std-1c","cell":0,"state":"SERVING","weight":1.0,"started_ms":0}}"#
-        )
-    };
-    let servers = nodes.iter().enumerate().map(entry).collect::<Vec<_>>().join(",");
-    let list = format!(r#"{{"version":41,"full":true,"servers":[{servers}]}}"#);
-    let full = list.clone();
-    let addr = http_server(Arc::new(move |line| {
-        let Some((_, wait)) = line.split_once("wait=") else { return http_ok(&full) };
-        let wait: u64 = wait.split(' ').next().and_then(|wait| wait.parse().ok()).unwrap_or(0);
-        sleep(ms(wait));
-        http_ok(r#"{"version":41,"full":false,"servers":[]}"#)
-    }))?;
-    Ok((addr, list))
-}
-
 fn config(listen: SocketAddr, console: SocketAddr, discovery: SocketAddr, known: &str, seed: u64) -> String {
     format!(
         r#"{{"name":"n1","listen":"{listen}","console":"{console}","discovery":"{discovery}","seed":"{seed:x}",
@@ -101,31 +83,22 @@
     write(&mut stream, &format!("/api/item-{key}?client=0"), &format!("b{key}"))
 }
 
-fn wait_until_ready(proxy: &mut Proxy, console: SocketAddr) -> CaseResult<()> {
-    let end = Instant::now() + Duration::from_secs(15);
-    while Instant::now() < end {
-        if let Some(status) = proxy.has_ended() {
-            return Err(format!("a proxy ended: {status}: {}", proxy.log_text()));
-        }
-        if http_get(console, "/control/ready").0 == 200 {
-            return Ok(());
-        }
-        sleep(ms(20));
-    }
-    Err("a proxy does not say that it is ready".to_string())
-}
-
 pub fn run(record: &Record) -> CaseResult<bool> {
     let folder = TempFolder::create()?;
     let runs = Runs::default();
     let nodes = [node(record, &runs)?, node(record, &runs)?];
-    let (discovery, known) = discovery(&nodes)?;
+    let discovery = Discovery::start(
+        record,
+        "bratislava-dc",
+        &[("s-0", nodes[0], "std-1c"), ("s-1", nodes[1], "std-1c")],
+    )?;
+    let known = discovery.list(None);
     // The platform holds the clients' listening socket.
     let socket = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
     let listen = socket.local_addr().map_err(|error| error.to_string())?;
     let consoles = [free_addr()?, free_addr()?];
     let file = |number: usize| {
-        let text = config(listen, consoles[number], discovery, &known, 0x5eed + number as u64);
+        let text = config(listen, consoles[number], discovery.addr, &known, 0x5eed + number as u64);
         folder.write(&format!("config-{number}.json"), &text)
     };
     let mut old = Proxy::start_with_socket(record, &folder, &file(0)?, &socket, "the old process")?;
