--- a/review/kit-2/cases.rs
+++ b/review/kit-2/cases.rs
@@ -6,7 +6,8 @@
 mod gone;
 mod handover;
 mod memory;
-mod order;
+mod origin;
+mod outage;
 mod platform;
 mod restart;
 
@@ -29,10 +30,11 @@
     });
     // True: the rule held.
     let run: fn(&Record) -> CaseResult<bool> = match name.as_str() {
-        "order" => order::run,
+        "origin" => origin::run,
         "memory" => memory::run,
         "restart" => restart::run,
         "handover" => handover::run,
+        "outage" => outage::run,
         "gone" => gone::run,
         "drain" => drain::run,
         _ => {
@@ -43,7 +45,7 @@
     let (sender, receiver) = channel();
     let case_record = record.clone();
     spawn(move || sender.send(run(&case_record)));
-    let result = receiver.recv_timeout(Duration::from_secs(100));
+    let result = receiver.recv_timeout(Duration::from_secs(115));
     let result = result.unwrap_or_else(|_| Err("it took too long, or panicked".to_string()));
     common::kill_all();
     let (text, status) = match result {
--- a/review/kit-2/common.rs
+++ b/review/kit-2/common.rs
@@ -98,6 +98,11 @@
         Proxy::spawn(record, folder, config, &command, Stdio::null(), "proxy")
     }
 
+    /// Starts one of several proxies.
+    pub fn start_named(record: &Record, folder: &TempFolder, config: &Path, name: &str) -> CaseResult<Proxy> {
+        Proxy::spawn(record, folder, config, &run_command()?, Stdio::null(), name)
+    }
+
     /// Starts a proxy that inherits the clients' listening socket as descriptor 4, as DAYS.md has it.
     pub fn start_with_socket(
         record: &Record,
@@ -121,7 +126,8 @@
     ) -> CaseResult<Proxy> {
         let log = folder.0.join(format!("{name}.log"));
         let log_file = File::create(&log).map_err(|error| error.to_string())?;
-        let private = folder.0.join("private");
+        // Processes of one proxy share a folder; proxies do not.
+        let private = folder.0.join(if name.starts_with("proxy-") { name } else { "private" });
         fs::create_dir_all(&private).map_err(|error| error.to_string())?;
         record.note(format!("starts {name}: {command}"));
         let child = Command::new("/bin/sh")
@@ -412,8 +418,8 @@
     Ok((head.lines().next().unwrap_or("").to_string(), buf.split_off(head_len)))
 }
 
-/// A stand-in that speaks HTTP: `answer` gets the first line of a request and returns the whole response.
-pub fn http_server(answer: Arc<dyn Fn(&str) -> Vec<u8> + Send + Sync>) -> CaseResult<SocketAddr> {
+/// A stand-in that speaks HTTP: `answer` gets the first line of a request and its body, and returns the whole response.
+pub fn http_server(answer: Arc<dyn Fn(&str, &[u8]) -> Vec<u8> + Send + Sync>) -> CaseResult<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
     let addr = listener.local_addr().map_err(|error| error.to_string())?;
     spawn(move || {
@@ -421,8 +427,8 @@
             let answer = answer.clone();
             _ = stream.set_nodelay(true);
             spawn(move || {
-                while let Ok((line, _)) = read_http(&mut stream) {
-                    if stream.write_all(&answer(&line)).is_err() {
+                while let Ok((line, body)) = read_http(&mut stream) {
+                    if stream.write_all(&answer(&line, &body)).is_err() {
                         return;
                     }
                 }
@@ -432,6 +438,8 @@
     Ok(addr)
 }
 
+pub const HTTP_MISS: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+
 pub fn http_ok(body: &str) -> Vec<u8> {
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
 }
--- a/review/kit-2/platform.rs
+++ b/review/kit-2/platform.rs
@@ -21,6 +21,9 @@
     version: u64,
     entries: Vec<Entry>,
     up: bool,
+    /// Each call ends with 503 after this wait.
+    refuses_after: Option<Duration>,
+    refused: usize,
     connections: Vec<TcpStream>,
 }
 
@@ -50,7 +53,14 @@
             changed: 41,
         };
         let entries = servers.iter().map(entry).collect();
-        let state = Arc::new(Mutex::new(State { version: 41, entries, up: true, connections: Vec::new() }));
+        let state = Arc::new(Mutex::new(State {
+            version: 41,
+            entries,
+            up: true,
+            refuses_after: None,
+            refused: 0,
+            connections: Vec::new(),
+        }));
         let discovery = Discovery { addr, state, zone, record: record.clone() };
         let serving = discovery.clone();
         spawn(move || serving.run(listener));
@@ -89,6 +99,16 @@
                 let value = line.split_once(name)?.1;
                 value.split(['&', ' ']).next()?.parse::<u64>().ok()
             };
+            let refuses_after = self.state.lock().unwrap().refuses_after;
+            if let Some(wait) = refuses_after {
+                sleep(wait);
+                self.state.lock().unwrap().refused += 1;
+                if stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").is_err()
+                {
+                    return;
+                }
+                continue;
+            }
             let (index, wait) = (number("index="), number("wait=").unwrap_or(0));
             let end = Instant::now() + ms(wait);
             while index.is_some_and(|index| self.state.lock().unwrap().version <= index)
@@ -109,7 +129,12 @@
     /// The whole list, or what has changed since a version.
     pub fn list(&self, since: Option<u64>) -> String {
         let state = self.state.lock().unwrap();
-        let entries = state.entries.iter().filter(|entry| since.is_none_or(|since| entry.changed > since));
+        // What is deleted is told among changes only.
+        let listed = |entry: &&Entry| match since {
+            Some(since) => entry.changed > since,
+            None => entry.state != "DELETED",
+        };
+        let entries = state.entries.iter().filter(listed);
         let entries = entries.map(|Entry { id, addr, kind, state, .. }| {
             let zone = self.zone;
             format!(
@@ -120,6 +145,15 @@
         format!(r#"{{"version":{},"full":{},"servers":[{entries}]}}"#, state.version, since.is_none())
     }
 
+    /// A server that is listed from now on.
+    pub fn add(&self, id: &str, addr: SocketAddr, kind: &'static str) {
+        let mut state = self.state.lock().unwrap();
+        state.version += 1;
+        let changed = state.version;
+        state.entries.push(Entry { id: id.to_string(), addr, kind, state: "SERVING", changed });
+        self.record.note(format!("discovery: {id} of kind {kind} is listed, version {changed}"));
+    }
+
     pub fn set_state(&self, id: &str, new_state: &'static str) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
@@ -130,6 +164,20 @@
         self.record.note(format!("discovery: {id} is {new_state}, version {version}"));
     }
 
+    /// Crowded: from now on each call ends with 503 after this wait, and open watches end; `None`: well again. Returns how many calls were refused so far.
+    pub fn set_refusing(&self, wait: Option<Duration>) -> usize {
+        let mut state = self.state.lock().unwrap();
+        state.refuses_after = wait;
+        if wait.is_some() {
+            // Watches end when discovery goes down.
+            state.connections.drain(..).for_each(|connection| _ = connection.shutdown(Shutdown::Both));
+        }
+        self.record.note(wait.map_or("discovery: is well again".to_string(), |wait| {
+            format!("discovery: each call ends with 503 after {} s", wait.as_secs_f64())
+        }));
+        state.refused
+    }
+
     /// Down: watches end, open connections are closed and new ones refused.
     pub fn set_up(&self, up: bool) {
         self.record.note(if up { "discovery: is back" } else { "discovery: goes down" });
