--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,4 +7,4 @@
     echo "build first: deploy/balancer.toml, then review/build-2.sh" >&2
     exit 2
 fi
-exec target/review-2/cases origin "$here/record.txt"
+exec target/review-2/cases memory "$here/record.txt"
--- a/review/kit-2/cases.rs
+++ b/review/kit-2/cases.rs
@@ -6,7 +6,6 @@
 mod gone;
 mod handover;
 mod memory;
-mod origin;
 mod outage;
 mod platform;
 mod restart;
@@ -30,7 +29,6 @@
     });
     // True: the rule held.
     let run: fn(&Record) -> CaseResult<bool> = match name.as_str() {
-        "origin" => origin::run,
         "memory" => memory::run,
         "restart" => restart::run,
         "handover" => handover::run,
--- a/review/kit-2/common.rs
+++ b/review/kit-2/common.rs
@@ -418,8 +418,8 @@
     Ok((head.lines().next().unwrap_or("").to_string(), buf.split_off(head_len)))
 }
 
-/// A stand-in that speaks HTTP: `answer` gets the first line of a request and its body, and returns the whole response.
-pub fn http_server(answer: Arc<dyn Fn(&str, &[u8]) -> Vec<u8> + Send + Sync>) -> CaseResult<SocketAddr> {
+/// A stand-in that speaks HTTP: `answer` gets the first line of a request and returns the whole response.
+pub fn http_server(answer: Arc<dyn Fn(&str) -> Vec<u8> + Send + Sync>) -> CaseResult<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
     let addr = listener.local_addr().map_err(|error| error.to_string())?;
     spawn(move || {
@@ -427,8 +427,8 @@
             let answer = answer.clone();
             _ = stream.set_nodelay(true);
             spawn(move || {
-                while let Ok((line, body)) = read_http(&mut stream) {
-                    if stream.write_all(&answer(&line, &body)).is_err() {
+                while let Ok((line, _)) = read_http(&mut stream) {
+                    if stream.write_all(&answer(&line)).is_err() {
                         return;
                     }
                 }
@@ -438,8 +438,6 @@
     Ok(addr)
 }
 
-pub const HTTP_MISS: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
-
 pub fn http_ok(body: &str) -> Vec<u8> {
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
 }
--- a/review/kit-2/outage.rs
+++ b/review/kit-2/outage.rs
@@ -25,7 +25,7 @@
 
 fn node(begun: &Begun) -> CaseResult<SocketAddr> {
     let begun = begun.clone();
-    http_server(Arc::new(move |line, _| {
+    http_server(Arc::new(move |line| {
         if line.contains("/api/") {
             begun.lock().unwrap().push((Instant::now(), line.to_string()));
         }
--- a/review/kit-2/platform.rs
+++ b/review/kit-2/platform.rs
@@ -145,15 +145,6 @@
         format!(r#"{{"version":{},"full":{},"servers":[{entries}]}}"#, state.version, since.is_none())
     }
 
-    /// A server that is listed from now on.
-    pub fn add(&self, id: &str, addr: SocketAddr, kind: &'static str) {
-        let mut state = self.state.lock().unwrap();
-        state.version += 1;
-        let changed = state.version;
-        state.entries.push(Entry { id: id.to_string(), addr, kind, state: "SERVING", changed });
-        self.record.note(format!("discovery: {id} of kind {kind} is listed, version {changed}"));
-    }
-
     pub fn set_state(&self, id: &str, new_state: &'static str) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
@@ -164,7 +155,8 @@
         self.record.note(format!("discovery: {id} is {new_state}, version {version}"));
     }
 
-    /// Crowded: from now on each call ends with 503 after this wait, and open watches end; `None`: well again. Returns how many calls were refused so far.
+    /// Crowded: from now on each call ends with 503 after this wait, and open watches end; `None`: well again.
+    /// Returns how many calls were refused so far.
     pub fn set_refusing(&self, wait: Option<Duration>) -> usize {
         let mut state = self.state.lock().unwrap();
         state.refuses_after = wait;
