--- a/crates/admin/src/call.rs
+++ b/crates/admin/src/call.rs
@@ -1,8 +1,8 @@
 //! One operator call: reading it from its connection, running it and writing the response.
 
 use crate::{ControlOutcome, ProxyControl};
-use chalkwalk_http1::{HttpError, RequestLimits, read_request, reason_phrase};
-use chalkwalk_sockets::{MemoryBudget, read_more, with_deadline, write_all};
+use chalkwalk_http1::{HttpError, MAX_HEAD_BYTES, RequestLimits, read_request, reason_phrase};
+use chalkwalk_sockets::{MessageMemory, read_more, with_deadline, write_all};
 use percent_encoding::percent_decode_str;
 use smol::Async;
 use std::net::{Shutdown, TcpStream};
@@ -13,6 +13,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// The maximum length of a call's body. No call needs a body.
 const MAX_BODY_BYTES: usize = 1024;
+/// The memory that one call may hold: a long head, with the last read past its end.
+const MAX_CALL_BYTES: usize = 2 * MAX_HEAD_BYTES;
 
 /// The method and target of a call, as the caller sent them.
 pub struct Call {
@@ -54,9 +56,8 @@
 /// Reads the only call of a connection.
 pub async fn read_call(stream: &Async<TcpStream>) -> Result<Call, HttpError> {
     let deadline = Instant::now() + CALL_TIMEOUT;
-    let empty_budget = MemoryBudget::new(0);
-    let limits =
-        RequestLimits { head_deadline: deadline, max_body_bytes: MAX_BODY_BYTES, memory: &empty_budget };
+    let memory = MessageMemory::with_shares(MAX_CALL_BYTES, 0);
+    let limits = RequestLimits { head_deadline: deadline, max_body_bytes: MAX_BODY_BYTES, memory: &memory };
     let mut unread = Vec::new();
     let request = read_request(stream, &mut unread, limits);
     let request = with_deadline(deadline, request).await.unwrap_or(Err(HttpError::Timeout))?;
--- a/crates/engine/src/classes.rs
+++ b/crates/engine/src/classes.rs
@@ -89,6 +89,12 @@
         self.active.borrow().max_time_limit
     }
 
+    /// The shortest time limit of any class.
+    pub fn min_time_limit(&self) -> Span {
+        let table = self.table();
+        table.classes().iter().map(|class| class.limits.time_limit.value).min().unwrap_or(Span::ZERO)
+    }
+
     /// The names of the platform's namespaces, in the order of their indices.
     pub fn namespace_names(&self) -> Vec<String> {
         self.active
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,7 +13,7 @@
 use crate::servers::ServerRegistry;
 use crate::violations::{RefusedAttempts, Violations};
 use chalkwalk_capture::Recorder;
-use chalkwalk_sockets::{MemoryBudget, with_deadline};
+use chalkwalk_sockets::{MessageMemory, with_deadline};
 use chalkwalk_time::Timestamp;
 use slog::{Logger, warn};
 use smol::LocalExecutor;
@@ -21,11 +21,6 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-/// Long responses may use the memory limit of the process divided by this number. The rest of the
-/// proxy needs a few megabytes, and another third is left to the operating system for data in
-/// transit.
-const RESPONSE_MEMORY_DIVISOR: usize = 3;
-
 /// One proxy without its protocols.
 pub struct Engine {
     /// The configuration; the cells in it change when the settings are reloaded.
@@ -36,8 +31,8 @@
     pub clock: Clock,
     /// The budget of file descriptors for client and server connections.
     pub budget: DescriptorBudget,
-    /// The memory budget that all long responses share.
-    pub response_memory: MemoryBudget,
+    /// The memory that the messages of all clients and servers may hold.
+    pub message_memory: MessageMemory,
     /// The phase of the process, and whether the proxy is ready.
     pub lifecycle: Lifecycle,
     /// The open requests, and the balancer.
@@ -92,7 +87,7 @@
         Rc::new(Engine {
             clock,
             budget: DescriptorBudget::new(config.max_descriptors),
-            response_memory: MemoryBudget::new(config.memory_limit_bytes / RESPONSE_MEMORY_DIVISOR),
+            message_memory: MessageMemory::of_process(config.memory_limit_bytes),
             lifecycle: Lifecycle::default(),
             requests: RefCell::new(requests),
             pool: ConnectionPool::new(config.idle_timeout),
--- a/crates/engine/src/response.rs
+++ b/crates/engine/src/response.rs
@@ -3,7 +3,7 @@
 
 use chalkwalk_balancer::AttemptOutcome;
 use chalkwalk_limits::RequestAttributes;
-use chalkwalk_sockets::MemoryReservation;
+use chalkwalk_sockets::MessageReservation;
 use chalkwalk_time::{Span, Timestamp};
 use smol::Async;
 use smol::channel::Receiver;
@@ -33,8 +33,8 @@
     pub content_type: String,
     /// The body, or its start.
     pub body: Vec<u8>,
-    /// The reservation in the memory budget for long responses.
-    pub memory_reservation: Option<MemoryReservation>,
+    /// The memory that the body has reserved.
+    pub memory_reservation: Option<MessageReservation>,
     /// The rest of the body, if the body is too long to be read whole.
     pub stream: Option<BodyStream>,
 }
--- a/crates/http-frontend/src/read_request.rs
+++ b/crates/http-frontend/src/read_request.rs
@@ -38,7 +38,7 @@
     let limits = RequestLimits {
         head_deadline: Instant::now() + HEAD_TIMEOUT,
         max_body_bytes: engine.classes.max_body_bytes() as usize,
-        memory: &engine.response_memory,
+        memory: &engine.message_memory,
     };
     http1::read_request(stream, read_ahead, limits).await.map(Some)
 }
--- a/crates/http-frontend/src/reply.rs
+++ b/crates/http-frontend/src/reply.rs
@@ -3,7 +3,7 @@
 use crate::decimal::format_seconds;
 use chalkwalk_engine::response::{BodyStream, Response, ResponseStatus};
 use chalkwalk_http1::reason_phrase;
-use chalkwalk_sockets::MemoryReservation;
+use chalkwalk_sockets::MessageReservation;
 use chalkwalk_time::Span;
 
 /// A response as HTTP represents it: a status code, header fields and a body.
@@ -14,7 +14,7 @@
     pub stream: Option<Box<BodyStream>>,
     retry_after: Option<Span>,
     content_type: String,
-    _memory_reservation: Option<MemoryReservation>,
+    _memory_reservation: Option<MessageReservation>,
 }
 
 impl Reply {
--- a/crates/http-frontend/src/request.rs
+++ b/crates/http-frontend/src/request.rs
@@ -121,7 +121,7 @@
     fn read_response<'a>(&'a self, stream: &'a Async<TcpStream>) -> BoxFuture<'a, Option<ServerResponse>> {
         Box::pin(async move {
             let reader = ResponseReader::start(stream).await.ok()?;
-            server_response::read(reader, stream, &self.frontend.engine.response_memory).await
+            server_response::read(reader, stream, &self.frontend.engine.message_memory).await
         })
     }
 }
--- a/crates/http-frontend/src/write_reply.rs
+++ b/crates/http-frontend/src/write_reply.rs
@@ -2,7 +2,7 @@
 
 use crate::reply::Reply;
 use chalkwalk_engine::response::BodyStream;
-use chalkwalk_sockets::{PacedWriter, WriteError, read_more, with_timeout};
+use chalkwalk_sockets::{LingerLimits, PacedWriter, WriteError, close_after_peer};
 use smol::Async;
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
@@ -11,12 +11,10 @@
 /// minimum rate of [`PacedWriter`], or else it is treated as disconnected.
 const WRITE_ALLOWANCE: Duration = Duration::from_secs(2);
 
-/// After an error reply, data that the client still sends is read and discarded for up to this time
-/// and up to `LINGER_MAX_BYTES`. If the socket were closed immediately, unread data would cause a
-/// connection reset, and the client could lose the reply.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum number of bytes that are discarded during [`LINGER_TIMEOUT`].
-const LINGER_MAX_BYTES: usize = 256 << 10;
+/// After an error reply, data that the client still sends is discarded for a moment, so that it
+/// receives the reply.
+const LINGER_LIMITS: LingerLimits =
+    LingerLimits { timeout: Duration::from_millis(300), max_bytes: 256 << 10 };
 /// The end of a chunked body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
@@ -58,7 +56,7 @@
 /// Writes the reply to an invalid message and closes the connection.
 pub(crate) async fn refuse(stream: &Async<TcpStream>, reply: Reply) {
     write_reply(stream, reply, ReplyOptions { close: true, is_http10: false }).await;
-    linger(stream).await;
+    close_after_peer(stream, LINGER_LIMITS).await;
 }
 
 /// Why a reply is cut off.
@@ -203,21 +201,3 @@
         self.write(&[prefix.as_bytes(), chunk_size_line.as_bytes(), part, chunk_end]).await
     }
 }
-
-/// Reads and discards what the client still sends, so that it receives the error reply.
-async fn linger(stream: &Async<TcpStream>) {
-    let discard_input = async {
-        let mut discarded_bytes = 0;
-        let mut buffer = Vec::new();
-        while let Ok(read_bytes @ 1..) = read_more(stream, &mut buffer).await {
-            discarded_bytes += read_bytes;
-            buffer.clear();
-            if discarded_bytes > LINGER_MAX_BYTES {
-                // Reading stops here, which bounds the cost; the client can still read the reply
-                // until the timeout.
-                std::future::pending::<()>().await;
-            }
-        }
-    };
-    with_timeout(LINGER_TIMEOUT, discard_input).await;
-}
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -20,8 +20,8 @@
     /// response was complete.
     #[error("malformed or incomplete response")]
     BrokenResponse,
-    /// The memory budget for long bodies had no room for this one within the timeout.
-    #[error("no memory available for the body")]
+    /// No memory became free for the message within its timeout.
+    #[error("no memory available for the message")]
     NoMemory,
 }
 
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -2,13 +2,16 @@
 
 use crate::HttpError;
 use crate::body::Framing;
-use crate::limits::MAX_HEAD_BYTES;
+use crate::limits::{MAX_HEAD_BYTES, MAX_UNRESERVED_BYTES};
+use crate::memory::reserve;
 use crate::message::{Header, Message};
-use chalkwalk_sockets::read_more;
+use chalkwalk_sockets::{MessageReservation, read_more};
 use smol::Async;
 use std::net::TcpStream;
 use std::ops::Range;
 
+/// Maximum length of the buffer in which a head is read: the last read may go past its end.
+const MAX_HEAD_BUFFER_BYTES: usize = 2 * MAX_HEAD_BYTES;
 /// Maximum number of header fields in a head; a head with more is rejected.
 const MAX_HEADERS: usize = 64;
 
@@ -43,11 +46,13 @@
 
 /// Reads a head from the stream and skips interim responses (1xx). `read_ahead` holds the bytes
 /// that were read from the stream but belong to no message yet, both on entry and on return.
+/// `memory`, if given, is the reservation of the message, which a long head extends first.
 pub async fn read_head(
     stream: &Async<TcpStream>,
     read_ahead: &mut Vec<u8>,
     kind: MessageKind,
     max_body_bytes: usize,
+    mut memory: Option<&mut MessageReservation>,
 ) -> Result<Head, HttpError> {
     loop {
         match parse_head(read_ahead, kind, max_body_bytes)? {
@@ -57,8 +62,16 @@
                 return Ok(head);
             }
             Some((_, interim_len)) => _ = read_ahead.drain(..interim_len),
-            None if matches!(read_more(stream, read_ahead).await, Ok(1..)) => {}
-            None => return Err(kind.truncation_error()),
+            None => {
+                if read_ahead.len() >= MAX_UNRESERVED_BYTES
+                    && let Some(reservation) = &mut memory
+                {
+                    reserve(reservation, MAX_HEAD_BUFFER_BYTES).await?;
+                }
+                if !matches!(read_more(stream, read_ahead).await, Ok(1..)) {
+                    return Err(kind.truncation_error());
+                }
+            }
         }
     }
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -9,12 +9,15 @@
 mod error;
 mod head;
 mod limits;
+mod memory;
 mod message;
 mod request;
 mod response;
 
 pub use error::HttpError;
-pub use limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, RequestLimits};
+pub use limits::{
+    MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, MAX_UNRESERVED_BYTES, RequestLimits,
+};
 pub use message::Message;
 pub use request::read_request;
 pub use response::{GetError, ResponseReader, get, reason_phrase, send_get};
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -1,6 +1,6 @@
 //! A message as one buffer, with the positions of its parts in that buffer.
 
-use chalkwalk_sockets::MemoryReservation;
+use chalkwalk_sockets::MessageReservation;
 use std::ops::Range;
 
 /// A request or a response. Its parts are stored as ranges of its buffer.
@@ -20,8 +20,8 @@
     pub close: bool,
     /// Whether the message is HTTP/1.0, which does not support chunked encoding.
     pub is_http10: bool,
-    /// Memory that the body has reserved from the budget for long bodies.
-    pub reservations: Vec<MemoryReservation>,
+    /// Memory that the message has reserved.
+    pub reservation: Option<MessageReservation>,
     /// The header fields, in the order received.
     pub(crate) headers: Vec<Header>,
 }
--- a/crates/http1/src/request/tests.rs
+++ b/crates/http1/src/request/tests.rs
@@ -1,8 +1,9 @@
 //! Tests how the time that a request waits for memory is accounted for.
 
-use super::{BODY_GRACE, MEMORY_TIMEOUT, read_request};
+use super::{BODY_GRACE, read_request};
+use crate::memory::LONG_MESSAGE_TIMEOUT;
 use crate::{MAX_BODY_BYTES, RequestLimits};
-use chalkwalk_sockets::MemoryBudget;
+use chalkwalk_sockets::MessageMemory;
 use smol::{Async, Timer};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
@@ -15,7 +16,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let stream = Async::new(listener.accept().unwrap().0).unwrap();
-    let memory = MemoryBudget::new(1 << 20);
+    let memory = MessageMemory::with_shares(1 << 20, 1 << 20);
     let mut read_ahead = Vec::new();
     let other_reservation = memory.try_reserve(1 << 20);
     let writer = std::thread::spawn(move || {
@@ -27,7 +28,7 @@
         client
     });
     let limits = RequestLimits {
-        head_deadline: Instant::now() + MEMORY_TIMEOUT,
+        head_deadline: Instant::now() + LONG_MESSAGE_TIMEOUT,
         max_body_bytes: MAX_BODY_BYTES,
         memory: &memory,
     };
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -40,7 +40,7 @@
     ) -> Result<ResponseReader, HttpError> {
         let mut read_ahead = Vec::new();
         let Head { message, framing, .. } =
-            read_head(stream, &mut read_ahead, MessageKind::Response, max_body_bytes).await?;
+            read_head(stream, &mut read_ahead, MessageKind::Response, max_body_bytes, None).await?;
         let content_length = match framing {
             Framing::Length(length) => Some(length as u64),
             Framing::Chunked | Framing::UntilClose => None,
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -2,10 +2,10 @@
 //! code each invalid message maps to.
 
 use chalkwalk_http1::{
-    HttpError, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, Message, RequestLimits,
-    ResponseReader, get, read_request,
+    HttpError, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, MAX_UNRESERVED_BYTES, Message,
+    RequestLimits, ResponseReader, get, read_request,
 };
-use chalkwalk_sockets::MemoryBudget;
+use chalkwalk_sockets::MessageMemory;
 use expect_test::expect;
 use smol::{Async, block_on};
 use std::io::{Read, Write};
@@ -36,7 +36,7 @@
 }
 
 fn read_one_request(text: &str, max_body_bytes: usize) -> (Result<Message, HttpError>, Vec<u8>) {
-    let memory = MemoryBudget::new(1 << 20);
+    let memory = MessageMemory::with_shares(1 << 20, 1 << 20);
     let limits = RequestLimits {
         head_deadline: Instant::now() + Duration::from_secs(5),
         max_body_bytes,
@@ -135,7 +135,7 @@
             peer.read_to_string(&mut received).unwrap();
             received
         });
-        let memory = MemoryBudget::new(0);
+        let memory = MessageMemory::with_shares(0, 0);
         let head_deadline = Instant::now() + Duration::from_secs(5);
         let limits = RequestLimits { head_deadline, max_body_bytes: 100, memory: &memory };
         let request = block_on(read_request(&stream, &mut Vec::new(), limits)).unwrap();
@@ -146,21 +146,44 @@
 }
 
 #[test]
-fn only_long_bodies_reserve_memory_and_those_above_the_budget_are_rejected() {
-    let reservation_count = |len: usize| {
+fn bodies_reserve_memory_unless_they_are_tiny_and_those_above_the_budget_are_rejected() {
+    let reserved_bytes = |len: usize| {
         let text = format!("PUT /k HTTP/1.1\r\nContent-Length: {len}\r\n\r\n{}", "v".repeat(len));
-        read_one_request(&text, MAX_BODY_BYTES).0.map(|request| request.reservations.len())
+        let request = read_one_request(&text, MAX_BODY_BYTES).0;
+        request.map(|request| request.reservation.map_or(0, |reservation| reservation.bytes()))
     };
-    assert_eq!(reservation_count(MAX_BUFFERED_BODY_BYTES), Ok(0));
-    assert_eq!(reservation_count(MAX_BUFFERED_BODY_BYTES + 1), Ok(1));
-    assert_eq!(reservation_count((1 << 20) + 1), Err(HttpError::BodyTooLong));
+    assert_eq!(reserved_bytes(MAX_UNRESERVED_BYTES), Ok(0));
+    for len in [MAX_UNRESERVED_BYTES + 1, MAX_BUFFERED_BODY_BYTES, MAX_BUFFERED_BODY_BYTES + 1] {
+        assert_eq!(reserved_bytes(len), Ok(len));
+    }
+    assert_eq!(reserved_bytes((1 << 20) + 1), Err(HttpError::BodyTooLong));
+}
+
+/// Guards against long heads and chunked bodies that are held outside of the memory for messages.
+#[test]
+fn a_long_head_and_a_chunked_body_are_held_only_if_memory_is_free() {
+    let long_head = format!("GET /k HTTP/1.1\r\nx: {}\r\n\r\n", "v".repeat(9000));
+    let chunk = format!("2000\r\n{}\r\n", "v".repeat(0x2000));
+    let chunked = format!("PUT /k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}0\r\n\r\n");
+    for text in [long_head, chunked] {
+        let (with_memory, _) = read_one_request(&text, MAX_BODY_BYTES);
+        assert!(with_memory.is_ok_and(|request| request.reservation.is_some()));
+        let memory = MessageMemory::with_shares(0, 4 << 10);
+        let head_deadline = Instant::now() + Duration::from_secs(5);
+        let limits = RequestLimits { head_deadline, max_body_bytes: MAX_BODY_BYTES, memory: &memory };
+        let mut read_ahead = Vec::new();
+        let without_memory =
+            read_from_peer(&text, async |stream| read_request(stream, &mut read_ahead, limits).await);
+        let error = without_memory.err().map(HttpError::status);
+        assert!(matches!(error, Some(503 | 413)), "{error:?}");
+    }
 }
 
 #[test]
 fn a_head_that_misses_its_deadline_is_a_timeout() {
     let (stream, mut peer) = connection();
     peer.write_all(b"GET / HTTP/1.1\r\n").unwrap();
-    let memory = MemoryBudget::new(0);
+    let memory = MessageMemory::with_shares(0, 0);
     let head_deadline = Instant::now() + Duration::from_millis(20);
     let limits = RequestLimits { head_deadline, max_body_bytes: 100, memory: &memory };
     let error = block_on(read_request(&stream, &mut Vec::new(), limits)).err();
--- a/crates/proxy/tests/resp.rs
+++ b/crates/proxy/tests/resp.rs
@@ -3,6 +3,8 @@
 
 #[path = "resp/guarantees.rs"]
 mod guarantees;
+#[path = "resp/many_clients.rs"]
+mod many_clients;
 
 use expect_test::expect;
 use serde_json::json;
@@ -128,6 +130,11 @@
 
 impl ProxySetup {
     fn new(extra_operator_toml: &str) -> ProxySetup {
+        ProxySetup::with_memory_limit(extra_operator_toml, None)
+    }
+
+    /// A proxy whose process may hold so many megabytes.
+    fn with_memory_limit(extra_operator_toml: &str, memory_mb: Option<usize>) -> ProxySetup {
         static NTH: AtomicUsize = AtomicUsize::new(0);
         let nth = NTH.fetch_add(2, Ordering::SeqCst);
         let commands = CommandLog::default();
@@ -144,13 +151,16 @@
         // Commands that wait for their turn are answered in time on a busy machine, too.
         ordered["targetTimeNs"] = 5_000_000_000u64.into();
         ordered["timeLimitNs"] = 6_000_000_000u64.into();
-        let configuration = json!({"name": "p", "listen": unique_addr(nth).to_string(), "seed": "5eed", "limits": {"sockets": 1024},
+        let mut configuration = json!({"name": "p", "listen": unique_addr(nth).to_string(), "seed": "5eed", "limits": {"sockets": 1024},
             "settings": {"az": "here", "zones": ["here"], "kinds": ["cache", "origin"], "discovery": "subscribe",
                 "familyInfo": {"mode": "aside", "originKind": 1},
                 "ceilings": {"mostShots": 6, "secondCopies": false, "cancelling": true, "probes": true, "retryAfter": true,
                     "maxRetryAfterNs": 2_000_000_000u64, "connIdleNs": 30_000_000_000u64, "connectTimeoutNs": 150_000_000},
                 "rules": {"drainGraceNs": 1_000_000_000},
                 "namespaces": [namespace("page", "free"), namespace("once", "single_shot"), ordered]}});
+        if let Some(memory_mb) = memory_mb {
+            configuration["limits"]["memory_mb"] = memory_mb.into();
+        }
         let resp_addr = unique_addr(nth + 1);
         let operator = format!(
             "version = 1\n[resp]\nlisten = \"{resp_addr}\"\nseeds = [\"{addr_a}\"]\nnamespace = \"page\"\n{}[[resp.prefix]]\n\
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -13,6 +13,8 @@
 mod large;
 #[path = "sockets/leaving.rs"]
 mod leaving;
+#[path = "sockets/many_clients.rs"]
+mod many_clients;
 #[path = "sockets/operators.rs"]
 mod operators;
 #[path = "sockets/endings.rs"]
--- a/crates/resp-frontend/src/arguments.rs
+++ b/crates/resp-frontend/src/arguments.rs
@@ -3,22 +3,54 @@
 #[cfg(test)]
 mod tests;
 
+use crate::message_cost::message_cost;
 use chalkwalk_resp::Writer;
+use chalkwalk_sockets::MessageReservation;
 use std::ops::Range;
+use std::rc::Rc;
+use std::time::Duration;
 
 /// A command as received: its bytes, and the positions of its arguments in them. The first argument
 /// is the command's name.
-#[derive(Debug)]
 pub struct Arguments {
     bytes: Vec<u8>,
     ranges: Vec<Range<usize>>,
+    /// The memory that the command has reserved. The parts of a split command share it.
+    reservation: Option<Rc<MessageReservation>>,
+    /// How long the whole command waited unread, which counts against its time limit.
+    pub waited: Duration,
 }
 
 impl Arguments {
     /// Creates the arguments of a command. `bytes` is the command as received, in RESP or inline;
-    /// `ranges` are the positions of its arguments, the name first.
-    pub fn new(bytes: Vec<u8>, ranges: Vec<Range<usize>>) -> Arguments {
-        Arguments { bytes, ranges }
+    /// `ranges` are the positions of its arguments, the name first; `reservation` is the memory that
+    /// the command has reserved, if any.
+    pub fn new(
+        bytes: Vec<u8>,
+        ranges: Vec<Range<usize>>,
+        reservation: Option<MessageReservation>,
+    ) -> Arguments {
+        Arguments { bytes, ranges, reservation: reservation.map(Rc::new), waited: Duration::ZERO }
+    }
+
+    /// The memory that the command takes while it is held.
+    pub fn cost(&self) -> usize {
+        message_cost(self.bytes.len(), self.ranges.len())
+    }
+
+    /// The memory that the command has reserved.
+    pub fn reservation(&self) -> Option<Rc<MessageReservation>> {
+        self.reservation.clone()
+    }
+
+    /// The number of bytes that the command has reserved.
+    pub fn reserved_bytes(&self) -> usize {
+        self.reservation.as_ref().map_or(0, |reservation| reservation.bytes())
+    }
+
+    /// Replaces the memory that the command has reserved.
+    pub fn set_reservation(&mut self, reservation: MessageReservation) {
+        self.reservation = Some(Rc::new(reservation));
     }
 
     /// The number of arguments, the name included.
@@ -60,7 +92,12 @@
             let end = out.len() - b"\r\n".len();
             ranges.push(end - argument.len()..end);
         }
-        Arguments { bytes: out.take_bytes(), ranges }
+        Arguments {
+            bytes: out.take_bytes(),
+            ranges,
+            reservation: self.reservation.clone(),
+            waited: self.waited,
+        }
     }
 
     /// The command in the form that servers accept: as received, or as an array if it was inline.
--- a/crates/resp-frontend/src/connection.rs
+++ b/crates/resp-frontend/src/connection.rs
@@ -4,6 +4,7 @@
 mod backpressure;
 mod command_reader;
 mod dispatch;
+mod encoded_reply;
 mod idle;
 mod key_order;
 mod open_request;
@@ -16,8 +17,9 @@
 use backpressure::{UnreadBytes, reply_queue};
 use chalkwalk_engine::engine::ClientConnection;
 use chalkwalk_engine::lifecycle::Phase;
+use chalkwalk_sockets::{LingerLimits, close_after_peer};
 use receive::CommandReceiver;
-use reply_writer::write_replies;
+use reply_writer::{ConnectionEnd, write_replies};
 use slog::warn;
 use smol::future::FutureExt;
 use smol::{Async, Timer};
@@ -29,6 +31,10 @@
 /// delay is short compared with any time limit.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// After the last reply, commands that the client still sends are discarded for a moment, so that it
+/// receives its replies. The bytes are as many as the longest command has.
+const LINGER_LIMITS: LingerLimits = LingerLimits { timeout: Duration::from_secs(1), max_bytes: 4 << 20 };
+
 /// Accepts connections until the process reaches `Phase::Finishing`.
 pub async fn accept_clients(frontend: Rc<Frontend>, listener: Async<TcpListener>) {
     let process_finishing = async { frontend.engine.lifecycle.wait_for_phase(Phase::Finishing).await };
@@ -63,6 +69,7 @@
     let engine = &frontend.engine;
     let (permit, admitted) = engine.budget.acquire_for_client().await;
     _ = stream.get_ref().set_nodelay(true);
+    let stream = Rc::new(stream);
     let connection = ClientConnection::new(engine);
     let frontend = frontend.clone();
     let serve_task = async move {
@@ -74,17 +81,20 @@
 
 async fn serve_connection(
     frontend: &Rc<Frontend>,
-    stream: &Async<TcpStream>,
+    stream: &Rc<Async<TcpStream>>,
     connection: &ClientConnection,
     admitted: bool,
 ) {
-    let (replies, queued_replies) = reply_queue();
     let unread = UnreadBytes::default();
+    let (replies, queued_replies) = reply_queue(unread.clone());
     let receive_commands = async {
         let mut receiver = CommandReceiver::new(frontend, stream, connection, unread.clone());
         receiver.run(admitted, replies).await;
         // The accepted commands are still answered: `write_replies` ends the connection.
         std::future::pending().await
     };
-    write_replies(stream, queued_replies, &unread, connection).or(receive_commands).await;
+    let write_replies = write_replies(stream, queued_replies, &unread, connection);
+    if write_replies.or(receive_commands).await == ConnectionEnd::LastReplyWritten {
+        close_after_peer(stream, LINGER_LIMITS).await;
+    }
 }
--- a/crates/resp-frontend/src/connection/backpressure.rs
+++ b/crates/resp-frontend/src/connection/backpressure.rs
@@ -1,6 +1,7 @@
 //! The limits of one connection: how many replies may wait for earlier ones, and how many bytes may
 //! wait for the client to read them.
 
+use super::encoded_reply::EncodedReply;
 use super::pending_reply::PendingReply;
 use chalkwalk_engine::budget::Permit;
 use smol::Timer;
@@ -11,8 +12,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Maximum number of replies of one connection that wait for an earlier one.
-const MAX_QUEUED_REPLIES: usize = 128;
+/// Maximum number of replies of one connection that wait for an earlier one. It bounds the memory of
+/// short replies, which have no reservation.
+const MAX_QUEUED_REPLIES: usize = 32;
 /// Bytes of replies of one connection that may wait for the client to read them. At this limit no
 /// further command is accepted.
 pub const MAX_UNREAD_BYTES: usize = 256 << 10;
@@ -25,6 +27,8 @@
     pub reply: PendingReply,
     /// The permit of the reply.
     pub permit: Permit,
+    /// The bytes of the reply, if it was ready when it was queued.
+    pub held_bytes: HeldBytes,
 }
 
 /// The sending end of the queue that holds the replies of a connection in the order of its
@@ -32,26 +36,28 @@
 pub struct ReplyQueue {
     sender: Sender<QueuedReply>,
     permits: Arc<Semaphore>,
+    unread: UnreadBytes,
 }
 
 /// Creates a queue and returns both its ends. Permits bound the queue, as a bounded channel would
 /// allocate memory for the maximum number of replies on every idle connection.
-pub fn reply_queue() -> (ReplyQueue, Receiver<QueuedReply>) {
+pub fn reply_queue(unread: UnreadBytes) -> (ReplyQueue, Receiver<QueuedReply>) {
     let (sender, receiver) = unbounded();
-    (ReplyQueue { sender, permits: Arc::new(Semaphore::new(MAX_QUEUED_REPLIES)) }, receiver)
+    (ReplyQueue { sender, permits: Arc::new(Semaphore::new(MAX_QUEUED_REPLIES)), unread }, receiver)
 }
 
 impl ReplyQueue {
     /// Adds a reply once the queue has space for it. Returns whether further replies may follow.
     pub async fn push(&self, reply: PendingReply) -> bool {
-        let is_last = matches!(reply, PendingReply::Last(_));
+        let is_last = reply.is_last();
+        let held_bytes = self.unread.hold(reply.held_bytes());
         let permit = self.permits.acquire_arc().await;
-        self.sender.send(QueuedReply { reply, permit }).await.is_ok() && !is_last
+        self.sender.send(QueuedReply { reply, permit, held_bytes }).await.is_ok() && !is_last
     }
 
     /// Ends the connection after the replies in the queue.
     pub async fn close(&self) {
-        self.push(PendingReply::Last(Vec::new())).await;
+        self.push(PendingReply::Ready(EncodedReply::last(Vec::new()))).await;
     }
 
     /// Whether all replies have been written.
@@ -61,14 +67,28 @@
     }
 }
 
-/// The number of bytes of replies that wait for the client to read them.
+/// The number of bytes of replies that wait for the client to read them, or for an earlier reply.
 #[derive(Clone, Default)]
 pub struct UnreadBytes(Rc<Cell<usize>>);
 
+/// Bytes of one reply that wait. They no longer count once this is dropped.
+pub struct HeldBytes {
+    unread: UnreadBytes,
+    bytes: usize,
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        let total = &self.unread.0;
+        total.set(total.get() - self.bytes);
+    }
+}
+
 impl UnreadBytes {
-    /// Sets the number of bytes that wait now.
-    pub fn set(&self, bytes: usize) {
-        self.0.set(bytes);
+    /// Counts the bytes of a reply until the result is dropped.
+    pub fn hold(&self, bytes: usize) -> HeldBytes {
+        self.0.set(self.0.get() + bytes);
+        HeldBytes { unread: self.clone(), bytes }
     }
 
     /// Waits until the client has read so much that the number of bytes is below the limit.
--- a/crates/resp-frontend/src/connection/dispatch.rs
+++ b/crates/resp-frontend/src/connection/dispatch.rs
@@ -2,6 +2,7 @@
 //! server, or split by slot.
 
 use super::backpressure::UnreadBytes;
+use super::encoded_reply::EncodedReply;
 use super::key_order::KeyOrder;
 use super::open_request::OpenRequest;
 use super::pending_reply::{OpenPart, OpenSplit, PendingReply};
@@ -12,6 +13,7 @@
 use crate::request::{NewRequest, RequestError, RequestTerms, RespRequest};
 use crate::session::Session;
 use chalkwalk_resp::Writer;
+use chalkwalk_sockets::MessageMemory;
 use smol::lock::Semaphore;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +25,10 @@
 /// known yet, so that commands are not rejected only because they are pipelined.
 const MAX_IN_FLIGHT_REQUESTS: usize = 8;
 
+/// Commands and replies up to this length are held without a reservation. It is more than most of
+/// them take, and eight of them per connection are little memory.
+const MAX_UNRESERVED_BYTES: usize = 512;
+
 /// Why a command is not accepted. The text is the error reply to the client, in the wording that
 /// cluster servers use.
 #[derive(Debug, Error)]
@@ -41,6 +47,9 @@
         /// The address at which clients connect to that instance.
         addr: SocketAddr,
     },
+    /// Too little memory is free for the command or its reply.
+    #[error("TRYAGAIN deferred, no memory for this command")]
+    NoMemory,
     /// The command is not accepted as a request.
     #[error(transparent)]
     Request(#[from] RequestError),
@@ -68,12 +77,29 @@
     }
 
     /// Accepts a command, once the number of unread bytes of earlier replies is below its limit.
-    pub async fn dispatch(&mut self, arguments: Arguments) -> PendingReply {
+    pub async fn dispatch(&mut self, mut arguments: Arguments) -> PendingReply {
+        let reserved = self.reserve(&mut arguments);
         self.unread.wait_below_limit().await;
-        match self.try_dispatch(arguments).await {
-            Ok(reply) => reply,
-            Err(error) => PendingReply::Ready(error_reply(&error.to_string())),
+        let reply = match reserved {
+            Ok(()) => self.try_dispatch(arguments).await,
+            Err(error) => Err(error),
+        };
+        reply.unwrap_or_else(|error| PendingReply::Ready(EncodedReply::new(error_reply(&error.to_string()))))
+    }
+
+    /// Reserves memory for a command while it waits and is served.
+    fn reserve(&self, arguments: &mut Arguments) -> Result<(), DispatchError> {
+        let cost = arguments.cost();
+        if cost <= MAX_UNRESERVED_BYTES || arguments.reserved_bytes() >= cost {
+            return Ok(());
         }
+        let reservation = self.memory().try_reserve(cost).ok_or(DispatchError::NoMemory)?;
+        arguments.set_reservation(reservation);
+        Ok(())
+    }
+
+    fn memory(&self) -> &MessageMemory {
+        &self.frontend.engine.message_memory
     }
 
     async fn try_dispatch(&mut self, arguments: Arguments) -> Result<PendingReply, DispatchError> {
@@ -81,20 +107,22 @@
             return Err(DispatchError::NotAuthenticated);
         }
         match classify_command(&arguments, self.frontend.settings.split_multi_slot)? {
-            Command::Local => Ok(self.execute(&arguments)),
+            Command::Local => self.execute(&arguments),
             Command::Keyed(command) => self.start_keyed(arguments, command).await,
-            Command::Split(command) => self.start_split(&arguments, command).await,
+            Command::Split(command) => self.start_split(arguments, command).await,
         }
     }
 
-    fn execute(&mut self, arguments: &Arguments) -> PendingReply {
+    fn execute(&mut self, arguments: &Arguments) -> Result<PendingReply, DispatchError> {
         let mut out = Writer::default();
         self.session.execute(arguments, &self.frontend.settings, &mut out);
-        if self.session.closing {
-            PendingReply::Last(out.take_bytes())
-        } else {
-            PendingReply::Ready(out.take_bytes())
-        }
+        let bytes = out.take_bytes();
+        let reservation = (bytes.len() > MAX_UNRESERVED_BYTES)
+            .then(|| self.memory().try_reserve(bytes.len()).ok_or(DispatchError::NoMemory))
+            .transpose()?;
+        let mut reply = EncodedReply::with_reservation(bytes, reservation);
+        reply.is_last = self.session.closing;
+        Ok(PendingReply::Ready(reply))
     }
 
     async fn start_keyed(
@@ -110,9 +138,13 @@
 
     async fn start_split(
         &mut self,
-        arguments: &Arguments,
+        mut arguments: Arguments,
         command: SplitCommand,
     ) -> Result<PendingReply, DispatchError> {
+        // The parts are copies, which are held beside the command until the last of them is sent.
+        let copied_cost = 2 * arguments.cost();
+        let reservation = self.memory().try_reserve(copied_cost).ok_or(DispatchError::NoMemory)?;
+        arguments.set_reservation(reservation);
         for part in &command.parts {
             self.check_instance(part.slot)?;
         }
@@ -135,8 +167,13 @@
             let request = self.start(part_arguments, keys, part.slot, command.write).await?;
             parts.push(OpenPart { request, key_indices });
         }
-        let resp3 = self.session.resp3;
-        Ok(PendingReply::Split(OpenSplit { parts, merge_rule: command.merge, write: command.write, resp3 }))
+        Ok(PendingReply::Split(OpenSplit {
+            parts,
+            merge_rule: command.merge,
+            write: command.write,
+            resp3: self.session.resp3,
+            memory: self.memory().clone(),
+        }))
     }
 
     /// Checks that this instance serves a slot, or that no instance does. If another one does, the
@@ -160,11 +197,13 @@
         slot: u16,
         write: bool,
     ) -> Result<OpenRequest, DispatchError> {
-        self.key_order.wait_for_earlier(&keys, write).await;
+        let key_hashes = self.key_order.hashes(&keys);
+        self.key_order.wait_for_earlier(&key_hashes, write).await;
         let permit = self.in_flight_permits.acquire_arc().await;
         let new_request = NewRequest { arguments, keys: &keys, slot, write, user: &self.session.user };
-        let started = OpenRequest::start(RespRequest::new(self.frontend, new_request)?, permit);
-        self.key_order.add(keys, write, &started.done);
+        let request = RespRequest::new(self.frontend, new_request)?;
+        let started = OpenRequest::start(request, permit, key_hashes.clone());
+        self.key_order.add(&key_hashes, write, &started.done);
         Ok(started.request)
     }
 }
--- a/crates/resp-frontend/src/connection/open_request.rs
+++ b/crates/resp-frontend/src/connection/open_request.rs
@@ -1,5 +1,6 @@
 //! A request that the engine has accepted and whose response the connection waits for.
 
+use super::key_order::KeyHashes;
 use crate::frontend::Frontend;
 use crate::request::RespRequest;
 use chalkwalk_balancer::RequestId;
@@ -29,8 +30,9 @@
 }
 
 impl OpenRequest {
-    /// Passes a request to the engine. The permit is returned once the request is answered.
-    pub fn start(request: RespRequest, permit: Permit) -> StartedRequest {
+    /// Passes a request to the engine. The permit is returned, and the hashes of its keys are
+    /// dropped, once the request is answered.
+    pub fn start(request: RespRequest, permit: Permit, keys: Rc<KeyHashes>) -> StartedRequest {
         let frontend = request.frontend.clone();
         let (request_id, engine_response) = api::accept_request(&frontend.engine, Rc::new(request));
         let (done_sender, done) = bounded::<()>(1);
@@ -42,7 +44,7 @@
                 answered_flag.set(true);
                 _ = sender.try_send(response);
             }
-            drop((permit, done_sender));
+            drop((permit, keys, done_sender));
         };
         frontend.engine.executor.spawn(forward_response).detach();
         StartedRequest { request: OpenRequest { frontend, request_id, response, answered }, done }
--- a/crates/resp-frontend/src/connection/pending_reply.rs
+++ b/crates/resp-frontend/src/connection/pending_reply.rs
@@ -1,20 +1,20 @@
 //! A reply in the queue of a connection: ready, or pending at one or several servers.
 
+use super::encoded_reply::EncodedReply;
 use super::open_request::OpenRequest;
 use super::reply::encode_response;
 use crate::merge::{MergeRule, PartResponse, merge_responses};
-use chalkwalk_engine::response::Response;
+use chalkwalk_engine::response::{Response, ResponseStatus};
+use chalkwalk_sockets::{MessageMemory, MessageReservation};
 
 /// The reply to one command.
 pub enum PendingReply {
     /// The reply is ready.
-    Ready(Vec<u8>),
+    Ready(EncodedReply),
     /// The reply is the response to one request.
     Request { request: OpenRequest, resp3: bool },
     /// The reply is merged from the responses to several requests.
     Split(OpenSplit),
-    /// The reply is ready, and the connection ends after it.
-    Last(Vec<u8>),
 }
 
 /// The requests of a command that was split by slot.
@@ -27,6 +27,8 @@
     pub write: bool,
     /// Whether the connection used RESP3 when the client sent the command.
     pub resp3: bool,
+    /// The memory in which the merged reply reserves its place.
+    pub memory: MessageMemory,
 }
 
 /// One request of a command that was split by slot.
@@ -37,46 +39,64 @@
     pub key_indices: Vec<usize>,
 }
 
-/// The bytes of a reply, and whether the connection ends after them.
-pub struct ResolvedReply {
-    /// The bytes to write.
-    pub bytes: Vec<u8>,
-    /// Whether the connection ends after these bytes.
-    pub is_last: bool,
-}
-
 impl PendingReply {
     /// Whether the reply can be written without a wait.
     pub fn is_ready(&self) -> bool {
         match self {
-            PendingReply::Ready(_) | PendingReply::Last(_) => true,
+            PendingReply::Ready(_) => true,
             PendingReply::Request { request, .. } => request.is_answered(),
             PendingReply::Split(split) => split.parts.iter().all(|part| part.request.is_answered()),
         }
     }
 
+    /// Whether the connection ends after this reply.
+    pub fn is_last(&self) -> bool {
+        matches!(self, PendingReply::Ready(EncodedReply { is_last: true, .. }))
+    }
+
+    /// The bytes of the reply that are held now.
+    pub fn held_bytes(&self) -> usize {
+        if let PendingReply::Ready(reply) = self { reply.bytes.len() } else { 0 }
+    }
+
     /// Waits for the reply and encodes it.
-    pub async fn resolve(self) -> ResolvedReply {
+    pub async fn resolve(self) -> EncodedReply {
         match self {
-            PendingReply::Ready(bytes) => ResolvedReply { bytes, is_last: false },
-            PendingReply::Last(bytes) => ResolvedReply { bytes, is_last: true },
+            PendingReply::Ready(reply) => reply,
             PendingReply::Request { request, resp3 } => {
-                ResolvedReply { bytes: encode_response(request.response().await, resp3), is_last: false }
+                let mut response = request.response().await;
+                let reservation = take_reservation(&mut response);
+                EncodedReply::with_reservation(encode_response(response, resp3), reservation)
             }
-            PendingReply::Split(split) => ResolvedReply { bytes: split.resolve().await, is_last: false },
+            PendingReply::Split(split) => split.resolve().await,
         }
     }
 }
 
+fn take_reservation(response: &mut Option<Response>) -> Option<MessageReservation> {
+    response.as_mut().and_then(|response| response.memory_reservation.take())
+}
+
 impl OpenSplit {
-    async fn resolve(self) -> Vec<u8> {
+    async fn resolve(self) -> EncodedReply {
         let mut responses = Vec::with_capacity(self.parts.len());
+        let mut part_reservations = Vec::new();
         for OpenPart { request, key_indices } in self.parts {
-            responses.push(PartResponse { response: request.response().await, key_indices });
+            let mut response = request.response().await;
+            part_reservations.extend(take_reservation(&mut response));
+            responses.push(PartResponse { response, key_indices });
         }
-        match merge_responses(responses, self.merge_rule, self.write, self.resp3) {
+        // The merged reply is a copy, for which the parts' reservations are too small while both are
+        // held.
+        let merged_bytes = part_reservations.iter().map(MessageReservation::bytes).sum();
+        let Some(reservation) = self.memory.try_reserve(merged_bytes) else {
+            let status = if self.write { ResponseStatus::Failed } else { ResponseStatus::Rejected(None) };
+            return EncodedReply::new(encode_response(Some(Response::empty(status)), self.resp3));
+        };
+        let bytes = match merge_responses(responses, self.merge_rule, self.write, self.resp3) {
             Ok(bytes) => bytes,
             Err(status) => encode_response(Some(Response::empty(status)), self.resp3),
-        }
+        };
+        EncodedReply::with_reservation(bytes, Some(reservation))
     }
 }
--- a/crates/resp-frontend/src/connection/receive.rs
+++ b/crates/resp-frontend/src/connection/receive.rs
@@ -2,26 +2,32 @@
 //! until the proxy has to close it.
 
 use super::backpressure::{ReplyQueue, UnreadBytes};
-use super::command_reader::{CommandReader, NextCommand};
+use super::command_reader::{CommandReader, NextCommand, ReadOutcome};
 use super::dispatch::Dispatcher;
+use super::encoded_reply::EncodedReply;
 use super::idle::wait_for_eviction;
 use super::pending_reply::PendingReply;
 use super::reply::error_reply;
 use crate::frontend::Frontend;
 use chalkwalk_engine::engine::ClientConnection;
-use chalkwalk_sockets::with_timeout;
+use chalkwalk_sockets::{with_deadline, with_timeout};
 use smol::Async;
 use smol::future::FutureExt;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Maximum time to wait for further bytes of an incomplete command.
+/// Maximum time from the first bytes of a command to its end, without the time that it waits for
+/// memory.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum time between two commands. It is long, as client libraries keep pools of connections.
 /// When file descriptors are scarce, idle connections are closed sooner.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 
+/// The reply to a command that was not received in time.
+const COMMAND_TIMEOUT_ERROR: &str = "ERR Protocol error: the command was not received in time";
+/// The reply to a command for whose rest no memory became free.
+const NO_MEMORY_ERROR: &str = "TRYAGAIN deferred, no memory for this command";
 /// The reply to the first command of a connection for which no file descriptor was available.
 const NOT_ADMITTED_ERROR: &str = "TRYAGAIN deferred, no place for this connection";
 
@@ -43,9 +49,10 @@
         unread: UnreadBytes,
     ) -> CommandReceiver<'a> {
         let peer = stream.get_ref().peer_addr().map_or(String::new(), |addr| addr.to_string());
+        let min_time_limit = Duration::from(frontend.engine.classes.min_time_limit());
         CommandReceiver {
             connection,
-            reader: CommandReader::new(stream),
+            reader: CommandReader::new(stream, &frontend.engine.message_memory, min_time_limit),
             dispatcher: Dispatcher::new(frontend, peer, unread),
             has_sent_command: false,
         }
@@ -61,7 +68,7 @@
                     let reply = if admitted {
                         self.dispatcher.dispatch(arguments).await
                     } else {
-                        PendingReply::Last(error_reply(NOT_ADMITTED_ERROR))
+                        last_reply(NOT_ADMITTED_ERROR)
                     };
                     replies.push(reply).await
                 }
@@ -70,10 +77,7 @@
                     true
                 }
                 Ok(NextCommand::Incomplete) => self.receive_more(&replies).await,
-                Err(error) => {
-                    let reply = error_reply(&format!("ERR Protocol error: {error}"));
-                    replies.push(PendingReply::Last(reply)).await
-                }
+                Err(error) => replies.push(last_reply(&format!("ERR Protocol error: {error}"))).await,
             };
             if !keep_open {
                 return;
@@ -84,26 +88,42 @@
     /// Waits for more bytes. Returns false if the connection ends instead.
     async fn receive_more(&mut self, replies: &ReplyQueue) -> bool {
         self.reader.discard_parsed();
-        let between_commands = self.reader.is_empty();
-        if between_commands && self.connection.must_close() {
+        if self.reader.is_empty() {
+            return self.receive_next_command(replies).await;
+        }
+        let deadline = self.reader.command_started() + COMMAND_TIMEOUT;
+        match with_deadline(deadline, self.reader.read_more()).await {
+            Some(ReadOutcome::Received) => true,
+            Some(ReadOutcome::NoMemory) => replies.push(last_reply(NO_MEMORY_ERROR)).await,
+            Some(ReadOutcome::Ended) => false,
+            None => replies.push(last_reply(COMMAND_TIMEOUT_ERROR)).await,
+        }
+    }
+
+    /// Waits for the first bytes of a command. Returns false if the connection ends instead.
+    async fn receive_next_command(&mut self, replies: &ReplyQueue) -> bool {
+        if self.connection.must_close() {
             replies.close().await;
             return false;
         }
-        let timeout = if between_commands { IDLE_TIMEOUT } else { COMMAND_TIMEOUT };
-        let idle = between_commands && replies.is_empty();
+        let idle = replies.is_empty();
         let close_requested = async {
             wait_for_close_while_idle(self.connection, idle, self.has_sent_command).await;
-            false
+            ReadOutcome::Ended
         };
-        let received =
-            with_timeout(timeout, self.reader.read_more().or(close_requested)).await.unwrap_or(false);
-        if !received && (idle || self.reader.is_empty()) {
+        let received = with_timeout(IDLE_TIMEOUT, self.reader.read_more().or(close_requested)).await;
+        let received = received == Some(ReadOutcome::Received);
+        if !received {
             replies.close().await;
         }
         received
     }
 }
 
+fn last_reply(error: &str) -> PendingReply {
+    PendingReply::Ready(EncodedReply::last(error_reply(error)))
+}
+
 /// Waits until an idle connection has to be closed. Never returns if the connection is not idle.
 async fn wait_for_close_while_idle(connection: &ClientConnection, idle: bool, has_sent_command: bool) {
     if !idle {
--- a/crates/resp-frontend/src/connection/reply_writer.rs
+++ b/crates/resp-frontend/src/connection/reply_writer.rs
@@ -1,7 +1,7 @@
 //! Writes replies in order, and batches those that are ready.
 
-use super::backpressure::{MAX_UNREAD_BYTES, QueuedReply, UnreadBytes};
-use super::pending_reply::ResolvedReply;
+use super::backpressure::{HeldBytes, MAX_UNREAD_BYTES, QueuedReply, UnreadBytes};
+use super::encoded_reply::EncodedReply;
 use chalkwalk_engine::budget::Permit;
 use chalkwalk_engine::engine::ClientConnection;
 use chalkwalk_sockets::{PacedWriter, WriteError};
@@ -14,37 +14,55 @@
 /// the minimum rate of [`PacedWriter`], or else it is disconnected.
 const WRITE_ALLOWANCE: Duration = Duration::from_secs(10);
 
-/// Replies that are written in one call.
+/// Replies that are written in one call. All of this is released once they are written.
+#[derive(Default)]
 struct Batch {
-    reply: ResolvedReply,
-    /// The permits of the replies, returned once the replies are written.
+    replies: Vec<EncodedReply>,
     permits: Vec<Permit>,
+    held_bytes: Vec<HeldBytes>,
+    byte_len: usize,
 }
 
 impl Batch {
-    async fn resolve(first: QueuedReply) -> Batch {
-        Batch { reply: first.reply.resolve().await, permits: vec![first.permit] }
+    async fn add(&mut self, next: QueuedReply, unread: &UnreadBytes) {
+        let QueuedReply { reply, permit, held_bytes } = next;
+        drop(held_bytes);
+        let reply = reply.resolve().await;
+        self.held_bytes.push(unread.hold(reply.bytes.len()));
+        self.byte_len += reply.bytes.len();
+        self.replies.push(reply);
+        self.permits.push(permit);
     }
 
-    async fn add(&mut self, next: QueuedReply) {
-        let reply = next.reply.resolve().await;
-        self.reply.bytes.extend(reply.bytes);
-        self.reply.is_last = reply.is_last;
-        self.permits.push(next.permit);
+    fn is_last(&self) -> bool {
+        self.replies.last().is_some_and(|reply| reply.is_last)
     }
 
     fn is_full(&self) -> bool {
-        self.reply.is_last || self.reply.bytes.len() >= MAX_UNREAD_BYTES
+        self.is_last() || self.byte_len >= MAX_UNREAD_BYTES
+    }
+
+    fn parts(&self) -> Vec<&[u8]> {
+        self.replies.iter().map(|reply| reply.bytes.as_slice()).collect()
     }
 }
 
+/// Why no further replies are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// All replies were written.
+    LastReplyWritten,
+    /// The client has gone, or reads too slowly.
+    Broken,
+}
+
 /// Writes replies until the last one, or until the client no longer reads them.
 pub async fn write_replies(
     stream: &Async<TcpStream>,
     queued_replies: Receiver<QueuedReply>,
     unread: &UnreadBytes,
     connection: &ClientConnection,
-) {
+) -> ConnectionEnd {
     let mut writer = PacedWriter::new(stream, WRITE_ALLOWANCE);
     let mut not_ready: Option<QueuedReply> = None;
     loop {
@@ -52,10 +70,11 @@
             Some(first) => first,
             None => match queued_replies.recv().await {
                 Ok(first) => first,
-                Err(_) => return,
+                Err(_) => return ConnectionEnd::LastReplyWritten,
             },
         };
-        let mut batch = Batch::resolve(first).await;
+        let mut batch = Batch::default();
+        batch.add(first, unread).await;
         while !batch.is_full()
             && let Ok(next) = queued_replies.try_recv()
         {
@@ -63,16 +82,17 @@
                 not_ready = Some(next);
                 break;
             }
-            batch.add(next).await;
+            batch.add(next, unread).await;
         }
-        unread.set(batch.reply.bytes.len());
-        let written = writer.write_all(&[&batch.reply.bytes]).await;
-        unread.set(0);
+        let written = writer.write_all(&batch.parts()).await;
         if let Err(WriteError::PeerTooSlow) = written {
             connection.log_slow_client(writer.written_bytes());
         }
-        if batch.reply.is_last || written.is_err() {
-            return;
+        if written.is_err() {
+            return ConnectionEnd::Broken;
+        }
+        if batch.is_last() {
+            return ConnectionEnd::LastReplyWritten;
         }
     }
 }
--- a/crates/resp-frontend/src/lib.rs
+++ b/crates/resp-frontend/src/lib.rs
@@ -20,6 +20,7 @@
 mod frontend;
 mod health_check;
 mod merge;
+mod message_cost;
 mod parse;
 mod request;
 mod server_reply;
--- a/crates/resp-frontend/src/parse.rs
+++ b/crates/resp-frontend/src/parse.rs
@@ -3,14 +3,13 @@
 #[cfg(test)]
 mod tests;
 
-use crate::arguments::Arguments;
 use chalkwalk_resp::{Frame, FrameKind, ProtocolError, ReadLimits, Reader};
 use std::ops::Range;
 
 /// A complete command at the start of a buffer.
 pub struct ParsedCommand {
-    /// The arguments; `None` for an empty array or a blank line, which gets no reply.
-    pub arguments: Option<Arguments>,
+    /// The positions of the arguments; empty for an empty array or a blank line, which gets no reply.
+    pub arguments: Vec<Range<usize>>,
     /// The length of the command in the buffer.
     pub len: usize,
 }
@@ -30,7 +29,7 @@
     let bulk_range = |frame: &Frame| (frame.kind == FrameKind::BulkString).then(|| frame.range.clone());
     let ranges: Option<Vec<_>> = frames[1..].iter().map(bulk_range).collect();
     let ranges = ranges.ok_or(ProtocolError::ExpectedBulkStrings)?;
-    Ok(Some(parsed_command(&buf[..len], ranges, len)))
+    Ok(Some(ParsedCommand { arguments: ranges, len }))
 }
 
 /// Parses an inline command: a line of arguments, as typed into a terminal.
@@ -40,12 +39,7 @@
         return if buf.len() >= max_line_bytes { Err(ProtocolError::InlineTooLong) } else { Ok(None) };
     };
     let line = buf[..end].strip_suffix(b"\r").unwrap_or(&buf[..end]);
-    Ok(Some(parsed_command(line, argument_ranges(line), end + 1)))
-}
-
-fn parsed_command(bytes: &[u8], ranges: Vec<Range<usize>>, len: usize) -> ParsedCommand {
-    let arguments = (!ranges.is_empty()).then(|| Arguments::new(bytes.to_vec(), ranges));
-    ParsedCommand { arguments, len }
+    Ok(Some(ParsedCommand { arguments: argument_ranges(line), len: end + 1 }))
 }
 
 /// The positions of the arguments in a line. White space separates the arguments.
--- a/crates/resp-frontend/src/parse/tests.rs
+++ b/crates/resp-frontend/src/parse/tests.rs
@@ -10,9 +10,11 @@
         Ok(None) => return "incomplete".into(),
         Err(error) => return format!("error: {error}"),
     };
-    let Some(arguments) = command.arguments else { return format!("blank, {} bytes", command.len) };
-    let texts: Vec<_> =
-        (0..arguments.len()).map(|index| String::from_utf8_lossy(arguments.get(index))).collect();
+    if command.arguments.is_empty() {
+        return format!("blank, {} bytes", command.len);
+    }
+    let text = |range: &Range<usize>| String::from_utf8_lossy(&bytes[range.clone()]);
+    let texts: Vec<_> = command.arguments.iter().map(text).collect();
     format!("{}, {} bytes", texts.join("|"), command.len)
 }
 
--- a/crates/resp-frontend/src/request.rs
+++ b/crates/resp-frontend/src/request.rs
@@ -10,7 +10,7 @@
 use chalkwalk_engine::response::{BoxFuture, ClientRequest, Response, ResponseStatus, ServerResponse};
 use chalkwalk_limits::RequestAttributes;
 use chalkwalk_slot_map::{ErrorMeaning, RequestRoute, classify_error};
-use chalkwalk_sockets::write_all;
+use chalkwalk_sockets::{MessageReservation, write_all};
 use chalkwalk_time::{Span, Timestamp};
 use smol::Async;
 use std::cell::RefCell;
@@ -19,9 +19,6 @@
 use std::rc::Rc;
 use thiserror::Error;
 
-/// Replies up to this length need no memory reservation. The limit is the same as for the responses
-/// of HTTP servers.
-const MAX_UNRESERVED_BYTES: usize = 64 << 10;
 /// Commands up to this length are accepted in every request class. The limit of a class applies to
 /// the body of a request, and a short command has none.
 const MIN_COMMAND_LIMIT_BYTES: u64 = 64;
@@ -109,6 +106,8 @@
     write: bool,
     /// The user that sent the command.
     user: String,
+    /// The memory for the command.
+    _reservation: Option<Rc<MessageReservation>>,
     received_at: Timestamp,
     expires_at: Timestamp,
     route: RefCell<RequestRoute>,
@@ -126,7 +125,7 @@
         let RequestTerms { deciding_key, namespace, limits, allow_stale_reads } = terms;
         let order_key =
             if engine.classes.keeps_order(namespace) { slot_key(slot) } else { deciding_key.clone() };
-        let received_at = engine.clock.earliest_arrival();
+        let received_at = engine.clock.earliest_arrival() - Span::from(arguments.waited);
         // A request whose deadline has passed is accepted here, and rejected by the balancer at
         // once.
         let deadline = may_start_request(
@@ -136,6 +135,7 @@
         );
         Ok(RespRequest {
             frontend: frontend.clone(),
+            _reservation: arguments.reservation(),
             command: arguments.into_resp(),
             deciding_key,
             order_key,
@@ -174,16 +174,11 @@
         if let Some(outcome) = reply.error_text().and_then(|error| self.apply_error(&error, server)) {
             return without_response(outcome, reply.reusable);
         }
-        let memory_reservation = self.frontend.engine.response_memory.try_reserve(reply.bytes.len());
-        if reply.bytes.len() > MAX_UNRESERVED_BYTES && memory_reservation.is_none() {
-            // The reply has been read, but the memory budget for responses has no room for it.
-            return without_response(AttemptOutcome::ServerError, false);
-        }
         let response = Response {
             status: ResponseStatus::Served,
             content_type: String::new(),
             body: reply.bytes,
-            memory_reservation,
+            memory_reservation: reply.reservation,
             stream: None,
         };
         ServerResponse {
@@ -285,7 +280,7 @@
         Box::pin(async move {
             let server = stream.get_ref().peer_addr().ok()?;
             let is_prefixed = self.prefixed_servers.borrow().contains(&server);
-            let reply = ServerReply::read(stream, is_prefixed).await?;
+            let reply = ServerReply::read(stream, is_prefixed, &self.frontend.engine.message_memory).await?;
             Some(self.interpret(server, reply))
         })
     }
--- a/crates/resp-frontend/src/test_support.rs
+++ b/crates/resp-frontend/src/test_support.rs
@@ -10,5 +10,5 @@
         ranges.push(bytes.len()..bytes.len() + argument.len());
         bytes.extend_from_slice(argument.as_bytes());
     }
-    Arguments::new(bytes, ranges)
+    Arguments::new(bytes, ranges, None)
 }
--- a/crates/resp/src/parse.rs
+++ b/crates/resp/src/parse.rs
@@ -89,6 +89,15 @@
     }
 }
 
+/// The end of the incomplete frame that begins at `start`, as far as its bytes announce it.
+pub fn announced_end(buf: &[u8], start: usize, limits: &ReadLimits) -> usize {
+    let has_body = buf.get(start).is_some_and(|marker| b"$!=".contains(marker));
+    let line = if has_body { parse_line(buf, start + 1, limits).ok().flatten() } else { None };
+    let body_len = |line: &Line| usize::try_from(parse_integer(&buf[line.range.clone()])?).ok();
+    let end = line.and_then(|line| Some(line.end + body_len(&line)? + CRLF.len()));
+    end.unwrap_or(buf.len()).max(buf.len())
+}
+
 /// Parses the header of an aggregate, which holds the element count.
 fn parse_aggregate(kind: FrameKind, buf: &[u8], line: Line, limits: &ReadLimits) -> ParseResult<ParsedFrame> {
     let count = parse_integer(&buf[line.range.clone()]).ok_or(ProtocolError::InvalidCount)?;
--- a/crates/resp/src/read.rs
+++ b/crates/resp/src/read.rs
@@ -1,6 +1,6 @@
 //! Reads whole messages from a stream of bytes.
 
-use crate::parse::{ParsedFrame, parse_frame};
+use crate::parse::{ParsedFrame, announced_end, parse_frame};
 use crate::{Frame, ProtocolError, ReadLimits};
 
 /// Reads whole messages from the start of a buffer. While a message is incomplete, the reader keeps
@@ -15,12 +15,20 @@
     open_aggregates: Vec<usize>,
     /// The length of the parsed frames, from the start of the buffer.
     parsed_bytes: usize,
+    /// The length of the current message, as far as its parsed frames and the next one announce it.
+    announced_bytes: usize,
 }
 
 impl Reader {
     /// Creates a reader at the start of a message.
     pub fn new(limits: ReadLimits) -> Reader {
-        Reader { limits, frames: Vec::new(), open_aggregates: Vec::new(), parsed_bytes: 0 }
+        Reader {
+            limits,
+            frames: Vec::new(),
+            open_aggregates: Vec::new(),
+            parsed_bytes: 0,
+            announced_bytes: 0,
+        }
     }
 
     /// Returns the frames of the message at the start of the buffer, and the length of the message
@@ -36,17 +44,29 @@
                 if buf.len() - self.parsed_bytes > self.limits.max_bulk_bytes + self.limits.max_line_bytes {
                     return Err(ProtocolError::MessageTooLong);
                 }
+                self.announced_bytes = announced_end(buf, self.parsed_bytes, &self.limits);
                 return Ok(None);
             };
             self.parsed_bytes = end;
             self.push(frame)?;
             if self.open_aggregates.is_empty() {
                 let len = std::mem::take(&mut self.parsed_bytes);
+                self.announced_bytes = 0;
                 return Ok(Some((std::mem::take(&mut self.frames), len)));
             }
         }
     }
 
+    /// The length that the current message will have at least; 0 if nothing of it has been read.
+    pub fn announced_bytes(&self) -> usize {
+        self.announced_bytes
+    }
+
+    /// The number of frames of the current message that have been parsed.
+    pub fn parsed_frames(&self) -> usize {
+        self.frames.len()
+    }
+
     /// Appends a frame. An aggregate with elements becomes the innermost incomplete aggregate. Any
     /// other frame is an element of that aggregate and closes the aggregates that it completes.
     fn push(&mut self, frame: Frame) -> Result<(), ProtocolError> {
--- a/crates/sockets/src/memory.rs
+++ b/crates/sockets/src/memory.rs
@@ -1,10 +1,9 @@
-//! The memory budget that long messages share.
+//! A budget of memory, from which several owners reserve bytes.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Limits the bytes that all long messages together may hold, from the read of their head until
-/// they are forwarded. Clones share one budget.
+/// Limits the bytes that all owners of reservations together may hold. Clones share one budget.
 #[derive(Clone)]
 pub struct MemoryBudget {
     free: Rc<Cell<usize>>,
@@ -36,6 +35,21 @@
     }
 }
 
+impl MemoryReservation {
+    /// The number of bytes that are reserved.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Reserves further bytes. Returns false if fewer are free.
+    pub fn try_extend(&mut self, additional: usize) -> bool {
+        let Some(free) = self.budget.free.get().checked_sub(additional) else { return false };
+        self.budget.free.set(free);
+        self.bytes += additional;
+        true
+    }
+}
+
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
         let free = &self.budget.free;
--- a/crates/sockets/src/stream.rs
+++ b/crates/sockets/src/stream.rs
@@ -7,7 +7,7 @@
 /// Size of the first read of a message, in bytes: one page, as most message heads fit into it.
 const FIRST_READ_BYTES: usize = 4096;
 /// Size of later reads of a message, in bytes: a quarter of the longest body on the platform.
-const LATER_READ_BYTES: usize = 16 << 10;
+pub const LATER_READ_BYTES: usize = 16 << 10;
 
 /// Waits until the stream is readable, and appends the available bytes to the buffer, at most 4 or
 /// 16 KiB. `Ok(0)` means the end of the stream. The buffer is unchanged if the future is dropped
