Send no RESP command of a client that has left, however much is unread

Cause: nobody reads the connection while a command waits for its turn or a place, and RespRequest said of every client that it waits. A read would not tell either, as the kernel delivers unread bytes before the reset.

Change: ClientPresence polls the connection without reading. After the end of the stream, which a client that waits may send too, further commands begin only while replies are accepted: the machine of a client that has gone answers them with a reset.

--- a/crates/proxy/tests/resp.rs
+++ b/crates/proxy/tests/resp.rs
@@ -3,6 +3,8 @@
 
 #[path = "resp/guarantees.rs"]
 mod guarantees;
+#[path = "resp/leaving.rs"]
+mod leaving;
 #[path = "resp/many_clients.rs"]
 mod many_clients;
 
--- a/crates/resp-frontend/src/connection.rs
+++ b/crates/resp-frontend/src/connection.rs
@@ -2,6 +2,7 @@
 //! concurrently, and the replies are written in the order of the commands.
 
 mod backpressure;
+mod client_presence;
 mod command_reader;
 mod dispatch;
 mod encoded_reply;
@@ -13,6 +14,8 @@
 mod reply;
 mod reply_writer;
 
+pub(crate) use client_presence::ClientPresence;
+
 use crate::frontend::Frontend;
 use backpressure::{UnreadBytes, reply_queue};
 use chalkwalk_engine::engine::ClientConnection;
@@ -86,15 +89,22 @@
     admitted: bool,
 ) {
     let unread = UnreadBytes::default();
+    let presence = ClientPresence::new(stream);
     let (replies, queued_replies) = reply_queue(unread.clone());
     let receive_commands = async {
-        let mut receiver = CommandReceiver::new(frontend, stream, connection, unread.clone());
+        let mut receiver =
+            CommandReceiver::new(frontend, stream, connection, unread.clone(), presence.clone());
         receiver.run(admitted, replies).await;
         // The accepted commands are still answered: `write_replies` ends the connection.
         std::future::pending().await
     };
-    let write_replies = write_replies(stream, queued_replies, &unread, connection);
-    if write_replies.or(receive_commands).await == ConnectionEnd::LastReplyWritten {
+    let on_written = || presence.record_write();
+    let write_replies = write_replies(stream, queued_replies, &unread, connection, on_written);
+    let client_reset = async {
+        presence.wait_until_reset().await;
+        ConnectionEnd::Broken
+    };
+    if write_replies.or(client_reset).or(receive_commands).await == ConnectionEnd::LastReplyWritten {
         close_after_peer(stream, LINGER_LIMITS).await;
     }
 }
--- a/crates/resp-frontend/src/connection/dispatch.rs
+++ b/crates/resp-frontend/src/connection/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatches the commands of a connection: each is answered by the frontend itself, sent to one
 //! server, or split by slot.
 
+use super::ClientPresence;
 use super::backpressure::UnreadBytes;
 use super::encoded_reply::EncodedReply;
 use super::key_order::KeyOrder;
@@ -62,20 +63,33 @@
     key_order: KeyOrder,
     in_flight_permits: Arc<Semaphore>,
     unread: UnreadBytes,
+    presence: Rc<ClientPresence>,
 }
 
 impl<'a> Dispatcher<'a> {
     /// Creates the dispatcher of a new connection from `peer`.
-    pub fn new(frontend: &'a Rc<Frontend>, peer: String, unread: UnreadBytes) -> Dispatcher<'a> {
+    pub fn new(
+        frontend: &'a Rc<Frontend>,
+        peer: String,
+        unread: UnreadBytes,
+        presence: Rc<ClientPresence>,
+    ) -> Dispatcher<'a> {
         Dispatcher {
             frontend,
             session: Session::new(frontend.next_connection_id(), peer, &frontend.settings),
             key_order: KeyOrder::default(),
             in_flight_permits: Arc::new(Semaphore::new(MAX_IN_FLIGHT_REQUESTS)),
             unread,
+            presence,
         }
     }
 
+    /// Whether requests other than the one that is being started are in flight.
+    fn has_open_requests(&self) -> bool {
+        // The dispatcher and each permit hold a reference to the semaphore.
+        Arc::strong_count(&self.in_flight_permits) > 2
+    }
+
     /// Accepts a command, once the number of unread bytes of earlier replies is below its limit.
     pub async fn dispatch(&mut self, mut arguments: Arguments) -> PendingReply {
         let reserved = self.reserve(&mut arguments);
@@ -200,7 +214,10 @@
         let key_hashes = self.key_order.hashes(&keys);
         self.key_order.wait_for_earlier(&key_hashes, write).await;
         let permit = self.in_flight_permits.acquire_arc().await;
-        let new_request = NewRequest { arguments, keys: &keys, slot, write, user: &self.session.user };
+        self.presence.wait_until_present(|| self.has_open_requests()).await;
+        let client = Rc::downgrade(&self.presence);
+        let new_request =
+            NewRequest { arguments, keys: &keys, slot, write, user: &self.session.user, client };
         let request = RespRequest::new(self.frontend, new_request)?;
         let started = OpenRequest::start(request, permit, key_hashes.clone());
         self.key_order.add(&key_hashes, write, &started.done);
--- a/crates/resp-frontend/src/connection/receive.rs
+++ b/crates/resp-frontend/src/connection/receive.rs
@@ -1,6 +1,7 @@
 //! Receives the commands of a connection until the client closes it or violates the protocol, or
 //! until the proxy has to close it.
 
+use super::ClientPresence;
 use super::backpressure::{ReplyQueue, UnreadBytes};
 use super::command_reader::{CommandReader, NextCommand, ReadOutcome};
 use super::dispatch::Dispatcher;
@@ -47,13 +48,14 @@
         stream: &'a Async<TcpStream>,
         connection: &'a ClientConnection,
         unread: UnreadBytes,
+        presence: Rc<ClientPresence>,
     ) -> CommandReceiver<'a> {
         let peer = stream.get_ref().peer_addr().map_or(String::new(), |addr| addr.to_string());
         let min_time_limit = Duration::from(frontend.engine.classes.min_time_limit());
         CommandReceiver {
             connection,
             reader: CommandReader::new(stream, &frontend.engine.message_memory, min_time_limit),
-            dispatcher: Dispatcher::new(frontend, peer, unread),
+            dispatcher: Dispatcher::new(frontend, peer, unread, presence),
             has_sent_command: false,
         }
     }
--- a/crates/resp-frontend/src/connection/reply_writer.rs
+++ b/crates/resp-frontend/src/connection/reply_writer.rs
@@ -56,12 +56,14 @@
     Broken,
 }
 
-/// Writes replies until the last one, or until the client no longer reads them.
+/// Writes replies until the last one, or until the client no longer reads them. Calls `on_written`
+/// after each batch.
 pub async fn write_replies(
     stream: &Async<TcpStream>,
     queued_replies: Receiver<QueuedReply>,
     unread: &UnreadBytes,
     connection: &ClientConnection,
+    on_written: impl Fn(),
 ) -> ConnectionEnd {
     let mut writer = PacedWriter::new(stream, WRITE_ALLOWANCE);
     let mut not_ready: Option<QueuedReply> = None;
@@ -94,5 +96,6 @@
         if batch.is_last() {
             return ConnectionEnd::LastReplyWritten;
         }
+        on_written();
     }
 }
--- a/crates/resp-frontend/src/request.rs
+++ b/crates/resp-frontend/src/request.rs
@@ -2,6 +2,7 @@
 //! reply is interpreted.
 
 use crate::arguments::Arguments;
+use crate::connection::ClientPresence;
 use crate::frontend::{FRONTEND_NAME, Frontend};
 use crate::server_reply::ServerReply;
 use chalkwalk_balancer::AttemptOutcome;
@@ -16,7 +17,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use thiserror::Error;
 
 /// Commands up to this length are accepted in every request class. The limit of a class applies to
@@ -39,6 +40,8 @@
     pub write: bool,
     /// The user that sent the command.
     pub user: &'a str,
+    /// The client, while its connection is served.
+    pub client: Weak<ClientPresence>,
 }
 
 /// Why a command is not accepted as a request. The text is the error reply to the client.
@@ -106,6 +109,8 @@
     write: bool,
     /// The user that sent the command.
     user: String,
+    /// The client, while its connection is served.
+    client: Weak<ClientPresence>,
     /// The memory for the command.
     _reservation: Option<Rc<MessageReservation>>,
     received_at: Timestamp,
@@ -119,7 +124,7 @@
 impl RespRequest {
     /// Creates a request with the limits of its request class.
     pub fn new(frontend: &Rc<Frontend>, new_request: NewRequest<'_>) -> Result<RespRequest, RequestError> {
-        let NewRequest { arguments, keys, slot, write, user } = new_request;
+        let NewRequest { arguments, keys, slot, write, user, client } = new_request;
         let engine = &frontend.engine;
         let terms = RequestTerms::find(frontend, keys, write, user, arguments.byte_len())?;
         let RequestTerms { deciding_key, namespace, limits, allow_stale_reads } = terms;
@@ -143,6 +148,7 @@
             class: limits.class,
             write,
             user: user.to_string(),
+            client,
             received_at,
             expires_at: deadline.unwrap_or(received_at),
             route: RefCell::new(RequestRoute::new(slot, allow_stale_reads)),
@@ -247,6 +253,11 @@
         self.expires_at
     }
 
+    /// A client that resets its connection has gone. One that ended its stream may wait for replies.
+    fn client_is_waiting(&self) -> bool {
+        self.client.upgrade().is_some_and(|client| !client.has_reset())
+    }
+
     fn allowed_servers(&self) -> Option<Vec<SocketAddr>> {
         Some(self.route.borrow().candidates(&self.frontend.slot_map.borrow()))
     }
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -15,5 +15,5 @@
 pub use memory::{MemoryBudget, MemoryReservation};
 pub use message_memory::{MAX_SHORT_MESSAGE_BYTES, MessageMemory, MessageReservation};
 pub use paced_writer::{PacedWriter, WriteAllowance, WriteError};
-pub use stream::{LATER_READ_BYTES, is_idle, read_more, read_up_to, write_all};
+pub use stream::{LATER_READ_BYTES, PeerState, is_idle, peer_state, read_more, read_up_to, write_all};
 pub use wait::{with_deadline, with_timeout};
--- a/crates/sockets/src/stream.rs
+++ b/crates/sockets/src/stream.rs
@@ -1,5 +1,6 @@
 //! Reads and writes on a TCP stream.
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use smol::Async;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::TcpStream;
@@ -62,3 +63,31 @@
     let mut byte = [0];
     matches!(stream.get_ref().peek(&mut byte), Err(error) if error.kind() == ErrorKind::WouldBlock)
 }
+
+/// What a connection shows of its peer without being read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerState {
+    /// The peer may send more.
+    Open,
+    /// The peer has ended its sending side; unread bytes may lie before the end.
+    Ended,
+    /// The connection is broken, usually by a reset. Unread bytes may still be readable.
+    Reset,
+}
+
+/// The state of the peer, whether or not unread bytes lie before the end of the stream.
+pub fn peer_state(stream: &Async<TcpStream>) -> PeerState {
+    let mut fds = [PollFd::new(stream.get_ref(), PollFlags::RDHUP)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    if poll(&mut fds, Some(&at_once)).is_err() {
+        return PeerState::Open;
+    }
+    let flags = fds[0].revents();
+    if flags.intersects(PollFlags::HUP | PollFlags::ERR) {
+        PeerState::Reset
+    } else if flags.contains(PollFlags::RDHUP) {
+        PeerState::Ended
+    } else {
+        PeerState::Open
+    }
+}
