Let no client's small or refused messages keep the other clients waiting

What callers saw: while one client sends a body in chunks of one byte, or commands of thousands of keys, others get no answer: 2 of 2, 2 of 3 and 3 of 3 probes of 2 s, over HTTP and RESP.

Change: the decoder moves its buffer once a read; grouping ends at one slot too many; tasks that read a client yield after each read, RESP after 32 commands.

Both tests in many_clients.rs fail on the old program (no answer) and pass.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -81,77 +81,107 @@
         }
     }
 
-    /// Removes the next bytes of the body from the buffer and returns them without their framing.
-    /// The result is empty if the buffer holds too little, or if the body is complete.
+    /// Removes the encoded bytes from the start of the buffer, as far as they can be decoded, and
+    /// returns the bytes of the body in them. The result is empty if the buffer holds too little, or
+    /// if the body is complete. The buffer is moved once, however many chunks it holds.
     pub fn decode(&mut self, buf: &mut Vec<u8>) -> Result<Vec<u8>, HttpError> {
+        if !self.chunked {
+            return Ok(self.take_unchunked(buf));
+        }
+        let mut decoded = Vec::new();
+        let mut consumed = 0;
         loop {
-            let advanced = match self.state {
-                State::Finished => return Ok(Vec::new()),
-                State::UntilClose => return Ok(std::mem::take(buf)),
-                State::Data(remaining) => return Ok(self.take_data(remaining, buf)),
-                State::ChunkEnd => self.skip_chunk_end(buf)?,
-                State::ChunkSize => self.read_chunk_size(buf)?,
-                State::Trailers => self.skip_trailer(buf)?,
+            let rest = &buf[consumed..];
+            let step = match self.state {
+                State::Finished | State::UntilClose => Step::INCOMPLETE,
+                State::Data(remaining) => self.copy_data(remaining, rest, &mut decoded),
+                State::ChunkEnd => self.skip_chunk_end(rest)?,
+                State::ChunkSize => self.read_chunk_size(rest)?,
+                State::Trailers => self.skip_trailer(rest)?,
             };
-            if !advanced {
-                return Ok(Vec::new());
+            if step.consumed == 0 {
+                // The rest gets a buffer of its own size, so that a body that stalls holds no empty one.
+                *buf = buf.split_off(consumed);
+                return Ok(decoded);
             }
+            consumed += step.consumed;
         }
     }
 
-    fn take_data(&mut self, remaining: u64, buf: &mut Vec<u8>) -> Vec<u8> {
-        let len = (buf.len() as u64).min(remaining);
-        self.state = match remaining - len {
-            0 if self.chunked => State::ChunkEnd,
-            0 => State::Finished,
-            remaining => State::Data(remaining),
-        };
-        let rest = buf.split_off(len as usize);
-        std::mem::replace(buf, rest)
+    fn take_unchunked(&mut self, buf: &mut Vec<u8>) -> Vec<u8> {
+        match self.state {
+            State::UntilClose => std::mem::take(buf),
+            State::Data(remaining) => {
+                let len = (buf.len() as u64).min(remaining);
+                self.state = if len == remaining { State::Finished } else { State::Data(remaining - len) };
+                let rest = buf.split_off(len as usize);
+                std::mem::replace(buf, rest)
+            }
+            State::Finished | State::ChunkSize | State::ChunkEnd | State::Trailers => Vec::new(),
+        }
     }
 
-    // Each of the following methods consumes one element of the framing. It returns false while
-    // that element is incomplete.
+    // Each of the following methods consumes one element of the framing, or nothing while that
+    // element is incomplete.
+
+    fn copy_data(&mut self, remaining: u64, rest: &[u8], decoded: &mut Vec<u8>) -> Step {
+        let len = (rest.len() as u64).min(remaining);
+        decoded.extend_from_slice(&rest[..len as usize]);
+        self.state = if len == remaining { State::ChunkEnd } else { State::Data(remaining - len) };
+        Step { consumed: len as usize }
+    }
 
-    fn skip_chunk_end(&mut self, buf: &mut Vec<u8>) -> Result<bool, HttpError> {
-        match buf.get(..2) {
-            None => Ok(false),
+    fn skip_chunk_end(&mut self, rest: &[u8]) -> Result<Step, HttpError> {
+        match rest.get(..2) {
+            None => Ok(Step::INCOMPLETE),
             Some(b"\r\n") => {
-                buf.drain(..2);
                 self.state = State::ChunkSize;
-                Ok(true)
+                Ok(Step { consumed: 2 })
             }
             Some(_) => Err(HttpError::Malformed),
         }
     }
 
-    fn read_chunk_size(&mut self, buf: &mut Vec<u8>) -> Result<bool, HttpError> {
-        match httparse::parse_chunk_size(buf) {
+    fn read_chunk_size(&mut self, rest: &[u8]) -> Result<Step, HttpError> {
+        match httparse::parse_chunk_size(rest) {
             Ok(httparse::Status::Complete((line_len, size))) => {
-                buf.drain(..line_len);
                 self.state = if size == 0 { State::Trailers } else { State::Data(size) };
-                Ok(true)
+                Ok(Step { consumed: line_len })
             }
-            Ok(httparse::Status::Partial) if buf.len() < MAX_LINE_BYTES => Ok(false),
+            Ok(httparse::Status::Partial) if rest.len() < MAX_LINE_BYTES => Ok(Step::INCOMPLETE),
             _ => Err(HttpError::Malformed),
         }
     }
 
-    fn skip_trailer(&mut self, buf: &mut Vec<u8>) -> Result<bool, HttpError> {
-        let Some(len) = buf.windows(2).position(|window| window == b"\r\n") else {
-            return if buf.len() < MAX_LINE_BYTES { Ok(false) } else { Err(HttpError::Malformed) };
+    fn skip_trailer(&mut self, rest: &[u8]) -> Result<Step, HttpError> {
+        let Some(len) = rest.windows(2).position(|window| window == b"\r\n") else {
+            return if rest.len() < MAX_LINE_BYTES {
+                Ok(Step::INCOMPLETE)
+            } else {
+                Err(HttpError::Malformed)
+            };
         };
         let line_len = len + 2;
-        buf.drain(..line_len);
         self.trailer_bytes += line_len;
         if len == 0 {
             self.state = State::Finished;
         } else if self.trailer_bytes > MAX_TRAILER_BYTES {
             return Err(HttpError::HeadTooLong);
         }
-        Ok(true)
+        Ok(Step { consumed: line_len })
     }
 }
 
+/// How far one element of the framing was decoded.
+#[derive(Clone, Copy)]
+struct Step {
+    /// The length of the element in the buffer; 0 while it is incomplete.
+    consumed: usize,
+}
+
+impl Step {
+    const INCOMPLETE: Step = Step { consumed: 0 };
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -7,6 +7,7 @@
 use crate::{HttpError, Message, RequestLimits};
 use chalkwalk_sockets::{MessageReservation, read_up_to, with_deadline, with_timeout, write_all};
 use smol::Async;
+use smol::future::yield_now;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -78,6 +79,11 @@
             reserve_body(reservation, limits, covered_bytes).await?;
             message.buf.reserve_exact(covered_bytes - received_bytes);
         }
+        if !part.is_empty() {
+            // A client that sends without a pause leaves the executor to the other connections
+            // between its reads.
+            yield_now().await;
+        }
         let max_read_bytes = match framing {
             Framing::Chunked => MAX_READ_BYTES.min(covered_bytes - received_bytes),
             Framing::Length(_) | Framing::UntilClose => MAX_READ_BYTES,
--- a/crates/proxy/tests/resp/many_clients.rs
+++ b/crates/proxy/tests/resp/many_clients.rs
@@ -82,3 +82,35 @@
     assert_eq!(reply, "-ERR Protocol error: the command was not received in time\r\n");
     assert!(started.elapsed() < Duration::from_millis(4500), "after {:?}", started.elapsed());
 }
+
+/// Guards against other clients that get no reply while one client sends commands of thousands of
+/// keys without a pause: keys of many slots, which are refused, and keys of one slot.
+#[test]
+fn commands_with_thousands_of_keys_delay_no_other_client() {
+    for tag in ["", "{t}"] {
+        let setup = ProxySetup::new("");
+        let mut flood = setup.connect().unwrap();
+        let mut replies = flood.try_clone().unwrap();
+        spawn(move || while matches!(replies.read(&mut [0; 4096]), Ok(1..)) {});
+        spawn(move || {
+            for round in 0.. {
+                let keys: Vec<String> = (0..4094).map(|key| format!("{tag}{round}x{key}")).collect();
+                let mut words: Vec<&[u8]> = vec![b"DEL"];
+                words.extend(keys.iter().map(|key| key.as_bytes()));
+                if flood.write_all(&command(&words)).is_err() {
+                    return;
+                }
+            }
+        });
+        let end = Instant::now() + Duration::from_secs(2);
+        while Instant::now() < end {
+            // The time limit of the request is 0.6 s.
+            let mut client = setup.connect().unwrap();
+            client.set_read_timeout(Some(Duration::from_millis(600))).unwrap();
+            client.write_all(b"PING\r\n").unwrap();
+            let mut reply = [0; 7];
+            client.read_exact(&mut reply).unwrap();
+            assert_eq!(&reply, b"+PONG\r\n");
+        }
+    }
+}
--- a/crates/proxy/tests/sockets/many_clients.rs
+++ b/crates/proxy/tests/sockets/many_clients.rs
@@ -75,6 +75,28 @@
     }
 }
 
+/// Guards against other clients that get no answer while one client sends a body in chunks of one
+/// byte without a pause.
+#[test]
+fn a_body_in_tiny_chunks_delays_no_other_client() {
+    let setup = ProxySetup::with_memory_limit();
+    let mut flood = setup.client();
+    flood.write_all(format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n").as_bytes()).unwrap();
+    spawn(move || {
+        let chunks = "1\r\nv\r\n".repeat(20_000);
+        while flood.write_all(chunks.as_bytes()).is_ok() {}
+    });
+    let end = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < end {
+        // The time limit of the request is 1.5 s.
+        let mut client = setup.client();
+        client.set_read_timeout(Some(Duration::from_millis(1500))).unwrap();
+        setup.send_request(&mut client, "GET", "page", "k");
+        let status = read_message(&mut client).map(|(head, _)| head[9..12].to_string());
+        assert_eq!(status.as_deref(), Some("200"));
+    }
+}
+
 /// Guards against a client that is held for minutes because it had sent the first part of its body
 /// fast: it is owed its error within 3 s.
 #[test]
--- a/crates/resp-frontend/src/command.rs
+++ b/crates/resp-frontend/src/command.rs
@@ -76,18 +76,18 @@
     if let Some(start) = spec.set_options_start {
         check_set_options(arguments, start)?;
     }
-    let mut parts = keys_by_slot(arguments, spec.key_positions(arguments.len()));
+    let merge = spec.merge.filter(|_| split_multi_slot);
+    let max_slots = if merge.is_some() { MAX_SLOTS_PER_COMMAND } else { 1 };
+    let positions = spec.key_positions(arguments.len());
+    let Some(mut parts) = keys_by_slot(arguments, positions, max_slots) else {
+        return Err(if merge.is_some() { CommandError::TooManySlots } else { CommandError::CrossSlot });
+    };
     if parts.len() == 1
         && let Some(keys) = parts.pop()
     {
         return Ok(Command::Keyed(KeyedCommand { write: spec.write, keys }));
     }
-    let Some(merge) = spec.merge.filter(|_| split_multi_slot) else {
-        return Err(CommandError::CrossSlot);
-    };
-    if parts.len() > MAX_SLOTS_PER_COMMAND {
-        return Err(CommandError::TooManySlots);
-    }
+    let Some(merge) = merge else { return Err(CommandError::CrossSlot) };
     Ok(Command::Split(SplitCommand { write: spec.write, merge, step: spec.keys.step, parts }))
 }
 
@@ -97,14 +97,16 @@
     printable.to_lowercase()
 }
 
-fn keys_by_slot(arguments: &Arguments, positions: Vec<usize>) -> Vec<SlotKeys> {
+/// Groups keys by slot; `None` if they are in more than `max_slots` slots.
+fn keys_by_slot(arguments: &Arguments, positions: Vec<usize>, max_slots: usize) -> Option<Vec<SlotKeys>> {
     let mut parts: Vec<SlotKeys> = Vec::new();
     for position in positions {
         let slot = slot_of(arguments.get(position));
-        match parts.iter_mut().find(|part| part.slot == slot) {
-            Some(part) => part.positions.push(position),
+        match parts.iter().position(|part| part.slot == slot) {
+            Some(index) => parts[index].positions.push(position),
+            None if parts.len() == max_slots => return None,
             None => parts.push(SlotKeys { slot, positions: vec![position] }),
         }
     }
-    parts
+    Some(parts)
 }
--- a/crates/resp-frontend/src/connection/receive.rs
+++ b/crates/resp-frontend/src/connection/receive.rs
@@ -13,7 +13,7 @@
 use chalkwalk_engine::engine::ClientConnection;
 use chalkwalk_sockets::{with_deadline, with_timeout};
 use smol::Async;
-use smol::future::FutureExt;
+use smol::future::{FutureExt, yield_now};
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +25,9 @@
 /// When file descriptors are scarce, idle connections are closed sooner.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 
+/// Maximum number of commands of a connection that are handled before other tasks run.
+const COMMANDS_PER_TURN: usize = 32;
+
 /// The reply to a command that was not received in time.
 const COMMAND_TIMEOUT_ERROR: &str = "ERR Protocol error: the command was not received in time";
 /// The reply to a command for whose rest no memory became free.
@@ -63,6 +66,7 @@
     /// Receives commands until the connection ends. `admitted` states whether a file descriptor was
     /// available for the connection; if not, its first command is rejected.
     pub async fn run(&mut self, admitted: bool, replies: ReplyQueue) {
+        let mut since_yield = 0;
         loop {
             let keep_open = match self.reader.next_command() {
                 Ok(NextCommand::Command(arguments)) => {
@@ -84,12 +88,20 @@
             if !keep_open {
                 return;
             }
+            since_yield += 1;
+            if since_yield >= COMMANDS_PER_TURN {
+                since_yield = 0;
+                yield_now().await;
+            }
         }
     }
 
     /// Waits for more bytes. Returns false if the connection ends instead.
     async fn receive_more(&mut self, replies: &ReplyQueue) -> bool {
         self.reader.discard_parsed();
+        // A client that sends without a pause leaves the executor to the other connections between
+        // its reads.
+        yield_now().await;
         if self.reader.is_empty() {
             return self.receive_next_command(replies).await;
         }
