Forward long RESP replies while their servers write them

What callers saw: a GET of 1 MB that its server writes over 1.2 s gets -TRYAGAIN at the time limit of 0.6 s, although the value was arriving. Over HTTP such an answer is forwarded.

Cause: every reply was read whole within the attempt's time limit.

Its request counts as in flight until it is written; a server that breaks it off ends the client's connection.

--- a/crates/proxy/tests/resp.rs
+++ b/crates/proxy/tests/resp.rs
@@ -5,6 +5,8 @@
 mod guarantees;
 #[path = "resp/leaving.rs"]
 mod leaving;
+#[path = "resp/long_replies.rs"]
+mod long_replies;
 #[path = "resp/many_clients.rs"]
 mod many_clients;
 
@@ -89,6 +91,7 @@
                             sleep(Duration::from_millis(150));
                             "+slow\r\n".into()
                         }
+                        _ if key.starts_with("drip") => drip(&mut stream, key.contains("broken")),
                         "SET" | "MSET" => "+OK\r\n".into(),
                         "MGET" => {
                             let values: String =
@@ -110,6 +113,21 @@
     });
 }
 
+/// Writes a long value over 1.2 s, all but its last part, which is returned. A broken one ends early.
+fn drip(stream: &mut TcpStream, broken: bool) -> String {
+    const PARTS: usize = 12;
+    _ = stream.write_all(format!("${LONG_VALUE_BYTES}\r\n").as_bytes());
+    let part = vec![b'v'; LONG_VALUE_BYTES / PARTS];
+    for _ in 0..PARTS {
+        _ = stream.write_all(&part);
+        sleep(Duration::from_millis(100));
+    }
+    if broken {
+        _ = stream.shutdown(std::net::Shutdown::Both);
+    }
+    "v".repeat(LONG_VALUE_BYTES - PARTS * part.len()) + "\r\n"
+}
+
 /// Returns the slot of a key: CRC16 bit by bit, independent of the implementation under test.
 fn slot(key: &str) -> u16 {
     let tag = key.split_once('{').and_then(|(_, k)| k.split_once('}')).map_or(key, |(k, _)| k);
--- a/crates/resp-frontend/src/connection/dispatch.rs
+++ b/crates/resp-frontend/src/connection/dispatch.rs
@@ -9,7 +9,7 @@
 use super::pending_reply::{OpenPart, OpenSplit, PendingReply};
 use super::reply::error_reply;
 use crate::arguments::Arguments;
-use crate::command::{Command, CommandError, KeyedCommand, SplitCommand, classify_command};
+use crate::command::{Command, CommandError, KeyedCommand, SlotKeys, SplitCommand, classify_command};
 use crate::frontend::Frontend;
 use crate::request::{NewRequest, RequestError, RequestTerms, RespRequest};
 use crate::session::Session;
@@ -146,7 +146,7 @@
     ) -> Result<PendingReply, DispatchError> {
         self.check_instance(command.keys.slot)?;
         let keys = arguments.key_texts(&command.keys.positions);
-        let request = self.start(arguments, keys, command.keys.slot, command.write).await?;
+        let request = self.start(arguments, keys, &command.keys, command.write, true).await?;
         Ok(PendingReply::Request { request, resp3: self.session.resp3 })
     }
 
@@ -178,7 +178,7 @@
         for (part, part_arguments) in command.parts.into_iter().zip(part_commands) {
             let key_indices = part.positions.iter().map(index_of).collect();
             let keys = arguments.key_texts(&part.positions);
-            let request = self.start(part_arguments, keys, part.slot, command.write).await?;
+            let request = self.start(part_arguments, keys, &part, command.write, false).await?;
             parts.push(OpenPart { request, key_indices });
         }
         Ok(PendingReply::Split(OpenSplit {
@@ -208,16 +208,24 @@
         &mut self,
         arguments: Arguments,
         keys: Vec<String>,
-        slot: u16,
+        slot_keys: &SlotKeys,
         write: bool,
+        may_stream: bool,
     ) -> Result<OpenRequest, DispatchError> {
         let key_hashes = self.key_order.hashes(&keys);
         self.key_order.wait_for_earlier(&key_hashes, write).await;
         let permit = self.in_flight_permits.acquire_arc().await;
         self.presence.wait_until_present(|| self.has_open_requests()).await;
         let client = Rc::downgrade(&self.presence);
-        let new_request =
-            NewRequest { arguments, keys: &keys, slot, write, user: &self.session.user, client };
+        let new_request = NewRequest {
+            arguments,
+            keys: &keys,
+            slot: slot_keys.slot,
+            write,
+            user: &self.session.user,
+            client,
+            may_stream,
+        };
         let request = RespRequest::new(self.frontend, new_request)?;
         let started = OpenRequest::start(request, permit, key_hashes.clone());
         self.key_order.add(&key_hashes, write, &started.done);
--- a/crates/resp-frontend/src/connection/open_request.rs
+++ b/crates/resp-frontend/src/connection/open_request.rs
@@ -16,10 +16,19 @@
 pub struct OpenRequest {
     frontend: Rc<Frontend>,
     request_id: RequestId,
-    response: Receiver<Response>,
+    answer: Receiver<Answer>,
     answered: Rc<Cell<bool>>,
 }
 
+/// The response to a request.
+pub struct Answer {
+    /// The response.
+    pub response: Response,
+    /// The permit of the request, if its response is still arriving: the request counts as in flight
+    /// until the response is written.
+    pub permit: Option<Permit>,
+}
+
 /// A request that has just been accepted.
 pub struct StartedRequest {
     /// The request.
@@ -36,33 +45,37 @@
         let frontend = request.frontend.clone();
         let (request_id, engine_response) = api::accept_request(&frontend.engine, Rc::new(request));
         let (done_sender, done) = bounded::<()>(1);
-        let (sender, response) = bounded(1);
+        let (sender, answer) = bounded(1);
         let answered = Rc::new(Cell::new(false));
         let answered_flag = answered.clone();
         let forward_response = async move {
             if let Ok(response) = engine_response.recv().await {
                 answered_flag.set(true);
-                _ = sender.try_send(response);
+                let permit = response.stream.is_some().then_some(permit);
+                _ = sender.try_send(Answer { response, permit });
             }
-            drop((permit, keys, done_sender));
+            drop((keys, done_sender));
         };
         frontend.engine.executor.spawn(forward_response).detach();
-        StartedRequest { request: OpenRequest { frontend, request_id, response, answered }, done }
+        StartedRequest { request: OpenRequest { frontend, request_id, answer, answered }, done }
     }
 
     /// Whether the response has arrived.
     pub fn is_answered(&self) -> bool {
-        !self.response.is_empty()
+        !self.answer.is_empty()
     }
 
     /// Waits for the response; `None` if the engine has dropped the request.
-    pub async fn response(&self) -> Option<Response> {
-        let response = self.response.recv().await.ok();
-        if matches!(response, Some(Response { status: ResponseStatus::Rejected(_), .. })) {
+    pub async fn answer(&self) -> Option<Answer> {
+        let answer = self.answer.recv().await.ok();
+        if matches!(
+            &answer,
+            Some(Answer { response: Response { status: ResponseStatus::Rejected(_), .. }, .. })
+        ) {
             // An outdated slot map may be the reason that no server could serve the request.
             self.frontend.request_refresh();
         }
-        response
+        answer
     }
 }
 
--- a/crates/resp-frontend/src/connection/pending_reply.rs
+++ b/crates/resp-frontend/src/connection/pending_reply.rs
@@ -1,7 +1,7 @@
 //! A reply in the queue of a connection: ready, or pending at one or several servers.
 
-use super::encoded_reply::EncodedReply;
-use super::open_request::OpenRequest;
+use super::encoded_reply::{EncodedReply, ReplyRest};
+use super::open_request::{Answer, OpenRequest};
 use super::reply::encode_response;
 use crate::merge::{MergeRule, PartResponse, merge_responses};
 use chalkwalk_engine::response::{Response, ResponseStatus};
@@ -64,26 +64,29 @@
         match self {
             PendingReply::Ready(reply) => reply,
             PendingReply::Request { request, resp3 } => {
-                let mut response = request.response().await;
-                let reservation = take_reservation(&mut response);
-                EncodedReply::with_reservation(encode_response(response, resp3), reservation)
+                let Some(Answer { mut response, permit }) = request.answer().await else {
+                    return EncodedReply::new(encode_response(None, resp3));
+                };
+                let reservation = response.memory_reservation.take();
+                let stream = response.stream.take();
+                let mut reply =
+                    EncodedReply::with_reservation(encode_response(Some(response), resp3), reservation);
+                reply.rest = stream.map(|stream| ReplyRest { stream, _permit: permit });
+                reply
             }
             PendingReply::Split(split) => split.resolve().await,
         }
     }
 }
 
-fn take_reservation(response: &mut Option<Response>) -> Option<MessageReservation> {
-    response.as_mut().and_then(|response| response.memory_reservation.take())
-}
-
 impl OpenSplit {
     async fn resolve(self) -> EncodedReply {
         let mut responses = Vec::with_capacity(self.parts.len());
         let mut part_reservations = Vec::new();
         for OpenPart { request, key_indices } in self.parts {
-            let mut response = request.response().await;
-            part_reservations.extend(take_reservation(&mut response));
+            let mut response = request.answer().await.map(|answer| answer.response);
+            part_reservations
+                .extend(response.as_mut().and_then(|response| response.memory_reservation.take()));
             responses.push(PartResponse { response, key_indices });
         }
         // The merged reply is a copy, for which the parts' reservations are too small while both are
--- a/crates/resp-frontend/src/connection/reply_writer.rs
+++ b/crates/resp-frontend/src/connection/reply_writer.rs
@@ -1,12 +1,13 @@
 //! Writes replies in order, and batches those that are ready.
 
 use super::backpressure::{HeldBytes, MAX_UNREAD_BYTES, QueuedReply, UnreadBytes};
-use super::encoded_reply::EncodedReply;
+use super::encoded_reply::{EncodedReply, ReplyRest};
 use chalkwalk_engine::budget::Permit;
 use chalkwalk_engine::engine::ClientConnection;
 use chalkwalk_sockets::{PacedWriter, WriteError};
 use smol::Async;
 use smol::channel::Receiver;
+use std::io::ErrorKind;
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -38,8 +39,14 @@
         self.replies.last().is_some_and(|reply| reply.is_last)
     }
 
+    /// The rest of the last reply, if it is still arriving.
+    fn take_rest(&mut self) -> Option<ReplyRest> {
+        self.replies.last_mut()?.rest.take()
+    }
+
     fn is_full(&self) -> bool {
-        self.is_last() || self.byte_len >= MAX_UNREAD_BYTES
+        let is_arriving = self.replies.last().is_some_and(|reply| reply.rest.is_some());
+        self.is_last() || is_arriving || self.byte_len >= MAX_UNREAD_BYTES
     }
 
     fn parts(&self) -> Vec<&[u8]> {
@@ -56,6 +63,19 @@
     Broken,
 }
 
+/// Writes the rest of a reply as it arrives. If the server breaks it off, the connection ends, as the
+/// client could not tell the next reply from the missing part.
+async fn write_rest(writer: &mut PacedWriter<'_>, rest: ReplyRest) -> Result<(), WriteError> {
+    while let Ok(part) = rest.stream.parts.recv().await {
+        writer.write_all(&[&part]).await?;
+    }
+    if rest.stream.complete.get() {
+        Ok(())
+    } else {
+        Err(WriteError::Connection(ErrorKind::UnexpectedEof.into()))
+    }
+}
+
 /// Writes replies until the last one, or until the client no longer reads them. Calls `on_written`
 /// after each batch.
 pub async fn write_replies(
@@ -86,7 +106,12 @@
             }
             batch.add(next, unread).await;
         }
-        let written = writer.write_all(&batch.parts()).await;
+        let mut written = writer.write_all(&batch.parts()).await;
+        if let Some(rest) = batch.take_rest()
+            && written.is_ok()
+        {
+            written = write_rest(&mut writer, rest).await;
+        }
         if let Err(WriteError::PeerTooSlow) = written {
             connection.log_slow_client(writer.written_bytes());
         }
--- a/crates/resp-frontend/src/lib.rs
+++ b/crates/resp-frontend/src/lib.rs
@@ -9,7 +9,7 @@
 //! - `parse`, `arguments`, `command_table`, `command`: parse commands and classify them;
 //! - `session`: answers connection and cluster commands;
 //! - `connection`: receives the commands of one client and writes the replies, in order;
-//! - `request`, `server_reply`, `merge`: write requests to servers, read the replies, and merge the
+//! - `request`, `server_reply`, `long_reply`, `merge`: write requests to servers, read the replies, and merge the
 //!   replies to commands that were split by slot;
 //! - `slot_map_poll`, `health_check`: poll the servers for the slot map and check their health.
 
@@ -19,6 +19,7 @@
 mod connection;
 mod frontend;
 mod health_check;
+mod long_reply;
 mod merge;
 mod message_cost;
 mod parse;
--- a/crates/resp-frontend/src/request.rs
+++ b/crates/resp-frontend/src/request.rs
@@ -4,7 +4,8 @@
 use crate::arguments::Arguments;
 use crate::connection::ClientPresence;
 use crate::frontend::{FRONTEND_NAME, Frontend};
-use crate::server_reply::ServerReply;
+use crate::long_reply::LongReply;
+use crate::server_reply::{ReplyStart, ServerReply};
 use chalkwalk_balancer::AttemptOutcome;
 use chalkwalk_balancer::admission::may_start_request;
 use chalkwalk_engine::classes::ClassLimits;
@@ -42,6 +43,9 @@
     pub user: &'a str,
     /// The client, while its connection is served.
     pub client: Weak<ClientPresence>,
+    /// Whether a long reply may be forwarded while it arrives. The replies to the parts of a split
+    /// command are merged, and so read whole.
+    pub may_stream: bool,
 }
 
 /// Why a command is not accepted as a request. The text is the error reply to the client.
@@ -111,6 +115,8 @@
     user: String,
     /// The client, while its connection is served.
     client: Weak<ClientPresence>,
+    /// Whether a long reply may be forwarded while it arrives.
+    may_stream: bool,
     /// The memory for the command.
     _reservation: Option<Rc<MessageReservation>>,
     received_at: Timestamp,
@@ -124,7 +130,7 @@
 impl RespRequest {
     /// Creates a request with the limits of its request class.
     pub fn new(frontend: &Rc<Frontend>, new_request: NewRequest<'_>) -> Result<RespRequest, RequestError> {
-        let NewRequest { arguments, keys, slot, write, user, client } = new_request;
+        let NewRequest { arguments, keys, slot, write, user, client, may_stream } = new_request;
         let engine = &frontend.engine;
         let terms = RequestTerms::find(frontend, keys, write, user, arguments.byte_len())?;
         let RequestTerms { deciding_key, namespace, limits, allow_stale_reads } = terms;
@@ -149,6 +155,7 @@
             write,
             user: user.to_string(),
             client,
+            may_stream,
             received_at,
             expires_at: deadline.unwrap_or(received_at),
             route: RefCell::new(RequestRoute::new(slot, allow_stale_reads)),
@@ -228,6 +235,16 @@
     ServerResponse { outcome, response: None, reusable, remaining_body: None }
 }
 
+/// The response to a request whose reply is forwarded while it arrives.
+fn streamed_response(rest: LongReply, start: Vec<u8>) -> ServerResponse {
+    ServerResponse {
+        outcome: AttemptOutcome::Completed,
+        response: Some(Response { body: start, ..Response::empty(ResponseStatus::Served) }),
+        reusable: false,
+        remaining_body: Some(Box::new(rest)),
+    }
+}
+
 impl ClientRequest for RespRequest {
     fn class(&self) -> usize {
         self.class
@@ -291,8 +308,17 @@
         Box::pin(async move {
             let server = stream.get_ref().peer_addr().ok()?;
             let is_prefixed = self.prefixed_servers.borrow().contains(&server);
-            let reply = ServerReply::read(stream, is_prefixed, &self.frontend.engine.message_memory).await?;
-            Some(self.interpret(server, reply))
+            let memory = &self.frontend.engine.message_memory;
+            if !self.may_stream {
+                let reply = ServerReply::read(stream, is_prefixed, memory).await?;
+                return Some(self.interpret(server, reply));
+            }
+            match ServerReply::read_start(stream, is_prefixed, memory).await? {
+                ReplyStart::Whole(reply) => Some(self.interpret(server, reply)),
+                ReplyStart::Long { start, total_bytes } => {
+                    Some(streamed_response(LongReply::new(total_bytes, &start, memory), start))
+                }
+            }
         })
     }
 }
