Remember the ids of requests that may have run after their clients left

What callers saw: a single-use request whose client closes its connection and sends the same id again is sent to a server a second time.

Cause: the id was released as soon as the close had cancelled the attempt, which may have run.

Measured: the test in repeated_ids.rs fails on the old program (a second attempt, 500) and passes.

--- a/crates/engine/src/classes.rs
+++ b/crates/engine/src/classes.rs
@@ -1,7 +1,7 @@
 //! The request classes and the limits that apply to them now, and their conversion to the settings
 //! that the balancer reads.
 
-use chalkwalk_limits::{LimitTable, Limits, PlatformLimits, RequestAttributes};
+use chalkwalk_limits::{Idempotency, LimitTable, Limits, PlatformLimits, RequestAttributes};
 use chalkwalk_time::Span;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -140,6 +140,13 @@
         self.active.borrow().platform_limits.namespaces.get(namespace).is_some_and(|found| found.in_order)
     }
 
+    /// Whether requests of a namespace may run any number of times.
+    pub fn is_replayable(&self, namespace: usize) -> bool {
+        let active = self.active.borrow();
+        let found = active.platform_limits.namespaces.get(namespace);
+        found.is_some_and(|found| found.idempotency == Idempotency::Replayable)
+    }
+
     fn table(&self) -> Rc<LimitTable> {
         let active = self.active.borrow();
         active.operator_limits.clone().unwrap_or_else(|| active.platform_table.clone())
--- a/crates/http-frontend/src/admit.rs
+++ b/crates/http-frontend/src/admit.rs
@@ -42,7 +42,7 @@
     BodyTooLong,
     /// The request's time has run out, or the proxy's response deadline during shutdown has passed.
     Expired,
-    /// Another open request has the same correlation id.
+    /// Another request has the same correlation id: it is open, or may have run a moment ago.
     IdInUse,
 }
 
@@ -101,8 +101,9 @@
     let expires_at = received_at + time_left.min(time_limit);
     let expires_at = may_start_request(engine.clock.now(), expires_at, engine.response_deadline());
     let expires_at = expires_at.ok_or(AdmitError::Expired)?;
-    let id = message.header_bytes("X-Correlation-Id").unwrap_or_default().to_vec();
-    let open_id = frontend.open_ids.claim(id).ok_or(AdmitError::IdInUse)?;
+    let id = message.header_bytes("X-Correlation-Id").unwrap_or_default();
+    let is_replayable = engine.classes.is_replayable(namespace);
+    let open_id = frontend.request_ids.claim(id, is_replayable).ok_or(AdmitError::IdInUse)?;
     Ok(Rc::new(HttpRequest {
         frontend: frontend.clone(),
         key: key_range(&message),
@@ -114,7 +115,7 @@
         expires_at,
         message,
         client_stream: Rc::downgrade(client_stream),
-        _open_id: open_id,
+        open_id,
     }))
 }
 
--- a/crates/http-frontend/src/lib.rs
+++ b/crates/http-frontend/src/lib.rs
@@ -19,6 +19,7 @@
 mod read_request;
 mod reply;
 mod request;
+mod request_ids;
 mod route;
 mod server_response;
 mod write_reply;
--- a/crates/http-frontend/src/request.rs
+++ b/crates/http-frontend/src/request.rs
@@ -1,7 +1,8 @@
 //! An accepted request: writes it to a server and reads the server's response.
 
 use crate::decimal::format_seconds;
-use crate::frontend::{FRONTEND_NAME, Frontend, OpenId};
+use crate::frontend::{FRONTEND_NAME, Frontend};
+use crate::request_ids::OpenId;
 use crate::server_response;
 use chalkwalk_engine::response::{BoxFuture, ClientRequest, ServerResponse};
 use chalkwalk_http1::{Message, ResponseReader};
@@ -33,7 +34,7 @@
     /// The client's connection, while it is being served.
     pub client_stream: Weak<Async<TcpStream>>,
     /// Keeps the correlation id claimed while the request is open.
-    pub _open_id: OpenId,
+    pub open_id: OpenId,
 }
 
 /// The path of a message's target, without the query.
@@ -74,7 +75,9 @@
             parts.extend([&b"Content-Length: "[..], length.as_bytes(), b"\r\n"]);
         }
         parts.extend([&b"\r\n"[..], message.slice(&message.body)]);
-        write_all(stream, &parts).await
+        write_all(stream, &parts).await?;
+        self.open_id.mark_sent();
+        Ok(())
     }
 }
 
--- a/crates/http-frontend/src/route.rs
+++ b/crates/http-frontend/src/route.rs
@@ -5,6 +5,7 @@
 use chalkwalk_balancer::admission::Violation;
 use chalkwalk_engine::api;
 use chalkwalk_engine::engine::Engine;
+use chalkwalk_engine::response::ResponseStatus;
 use chalkwalk_sockets::read_more;
 use slog::warn;
 use smol::future::FutureExt;
@@ -27,7 +28,7 @@
     request: Rc<HttpRequest>,
 ) -> Option<Reply> {
     let expires_at = request.expires_at;
-    let (request_id, response) = api::accept_request(engine, request);
+    let (request_id, response) = api::accept_request(engine, request.clone());
     let overdue = async {
         // The balancer normally responds before this time. The timeout guards against a balancer
         // that lost track of the request, which would hold the connection forever.
@@ -44,7 +45,12 @@
     };
     let responded = async {
         match response.recv().await {
-            Ok(response) => Some(Reply::from(response)),
+            Ok(response) => {
+                if matches!(response.status, ResponseStatus::Rejected(_)) {
+                    request.open_id.mark_refused();
+                }
+                Some(Reply::from(response))
+            }
             // When the engine was about to write an attempt, it found that the client no longer
             // waits. The `client_disconnected` future then reads the end of the stream or the data
             // that the engine found.
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -19,6 +19,8 @@
 mod operators;
 #[path = "sockets/endings.rs"]
 mod outcomes;
+#[path = "sockets/repeated_ids.rs"]
+mod repeated_ids;
 #[path = "sockets/responses.rs"]
 mod responses;
 
