Tie a connection to the server process that it was opened to

What callers saw: a process stops listening but finishes its open connections, another one comes up at its address, and all requests keep going to the old one: 189 later than 1.05 s after the list had told of the new start, none to the new process. Over RESP, with another node id at the address: 262 commands later than 6 s, none to the new node.

Cause: the pool keeps connections by index and address, and neither changes with the process.

Change: ServerProcess, an address with a generation. A connection is used and returned to the pool only while its process is the server's, and an attempt whose process changed while it waited is withheld (NotSent). The RESP frontend counts a node with another id at a known address as just started.

Measured: both tests in replaced_servers.rs fail on the old program (old process after 5 s and 15 s) and pass; the same scripts show none late.

--- a/crates/engine/src/api.rs
+++ b/crates/engine/src/api.rs
@@ -44,7 +44,7 @@
 ) {
     let update = ListUpdate { endpoints, is_full: is_full_list, may_be_stale };
     let outcome = call(engine, |requests, now| requests.apply_endpoint_list(now, &update));
-    for server in outcome.unavailable {
+    for server in outcome.without_connections {
         engine.pool.close_all(server);
     }
     let changes = outcome.changes;
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -83,7 +83,7 @@
         };
         pending.handle.release_connection();
         if reusable && let Ok(connection) = Rc::try_unwrap(connection) {
-            engine.pool.put(pending.server, connection);
+            connect::return_to_pool(engine, pending.server, connection);
         }
         Progress::Ended { outcome, response }
     }
@@ -98,6 +98,10 @@
         engine.clock.catch_up().await;
         let allowed_at = engine.clock.now();
         self.check_still_allowed(allowed_at)?;
+        if !connect::is_current(engine, pending.server, &connection) {
+            // Another process has taken the server's place since the connection was requested.
+            return Err(AttemptOutcome::NotSent);
+        }
         pending.handle.set_connection(connection.clone());
         let time_left = pending.times_out_at - allowed_at;
         let written = pending.request.write_to(&connection.stream, time_left).await;
--- a/crates/engine/src/body_transfer.rs
+++ b/crates/engine/src/body_transfer.rs
@@ -2,6 +2,7 @@
 //! so a client that reads slowly applies backpressure to the server.
 
 use crate::attempt_handle::AttemptHandle;
+use crate::connect;
 use crate::engine::Engine;
 use crate::pool::ServerConnection;
 use crate::response::{BodyStream, Response, ResponseBody};
@@ -87,7 +88,7 @@
         if self.body.is_reusable()
             && let Ok(connection) = Rc::try_unwrap(self.connection)
         {
-            engine.pool.put(server, connection);
+            connect::return_to_pool(engine, server, connection);
         }
         self.outcome
     }
--- a/crates/engine/src/connect.rs
+++ b/crates/engine/src/connect.rs
@@ -6,12 +6,13 @@
 
 use crate::engine::Engine;
 use crate::pool::ServerConnection;
+use crate::server_process::ServerProcess;
 use chalkwalk_balancer::{AttemptOutcome, ServerIndex};
 use chalkwalk_sockets::with_timeout;
 use rustix::io::Errno;
 use smol::Async;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 
 /// Returns a connection to the server, from the pool or new. The error is the outcome of the
 /// attempt that needs the connection.
@@ -19,11 +20,11 @@
     engine: &Engine,
     server: ServerIndex,
 ) -> Result<ServerConnection, AttemptOutcome> {
-    let addr = address_of(engine, server)?;
-    if let Some(connection) = engine.pool.acquire(server, addr).await {
+    let process = process_of(engine, server)?;
+    if let Some(connection) = engine.pool.acquire(server, process).await {
         return Ok(connection);
     }
-    open(engine, addr).await
+    open(engine, process).await
 }
 
 /// Opens a new connection to the server. The error is the outcome of the attempt that needs it.
@@ -31,21 +32,34 @@
     engine: &Engine,
     server: ServerIndex,
 ) -> Result<ServerConnection, AttemptOutcome> {
-    let addr = address_of(engine, server)?;
-    open(engine, addr).await
+    let process = process_of(engine, server)?;
+    open(engine, process).await
 }
 
-fn address_of(engine: &Engine, server: ServerIndex) -> Result<SocketAddr, AttemptOutcome> {
-    engine.requests.borrow().servers.addr(server).ok_or(AttemptOutcome::Unreachable)
+/// Whether the process that a connection belongs to still serves at the server's address.
+pub(crate) fn is_current(engine: &Engine, server: ServerIndex, connection: &ServerConnection) -> bool {
+    process_of(engine, server) == Ok(connection.process)
 }
 
-async fn open(engine: &Engine, addr: SocketAddr) -> Result<ServerConnection, AttemptOutcome> {
+/// Returns a connection to the pool after a response, unless another process has taken the place of
+/// the one that it belongs to.
+pub(crate) fn return_to_pool(engine: &Engine, server: ServerIndex, connection: ServerConnection) {
+    if is_current(engine, server, &connection) {
+        engine.pool.put(server, connection);
+    }
+}
+
+fn process_of(engine: &Engine, server: ServerIndex) -> Result<ServerProcess, AttemptOutcome> {
+    engine.requests.borrow().servers.process(server).ok_or(AttemptOutcome::Unreachable)
+}
+
+async fn open(engine: &Engine, process: ServerProcess) -> Result<ServerConnection, AttemptOutcome> {
     let permit = engine.budget.acquire_for_server(|| engine.pool.close_longest_idle()).await;
     let connected =
-        with_timeout(engine.config.connect_timeout.get(), Async::<TcpStream>::connect(addr)).await;
+        with_timeout(engine.config.connect_timeout.get(), Async::<TcpStream>::connect(process.addr)).await;
     let stream = connected.ok_or(AttemptOutcome::Unreachable)?.map_err(|error| outcome_of(&error))?;
     _ = stream.get_ref().set_nodelay(true);
-    Ok(ServerConnection::new(stream, addr, permit))
+    Ok(ServerConnection::new(stream, process, permit))
 }
 
 /// The outcome of an attempt whose connection could not be opened. A shortage of descriptors,
--- a/crates/engine/src/health_check.rs
+++ b/crates/engine/src/health_check.rs
@@ -27,7 +27,7 @@
     }
     let reusable = engine.health_check.check(&connection.stream).await?;
     if reusable {
-        engine.pool.put(server, connection);
+        connect::return_to_pool(engine, server, connection);
     }
     Some(())
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod pool;
 pub mod request_table;
 pub mod response;
+pub mod server_process;
 pub mod servers;
 pub mod shutdown;
 mod timers;
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -1,25 +1,26 @@
 //! Connections to servers, and the pool of idle ones. The most recently used connection is reused
-//! first. A connection is not reused if it is close to the server's idle timeout, has unread input,
+//! first. A connection is not reused if its process has been replaced, if it is close to the server's idle timeout, has unread input,
 //! or carried a response only a moment ago.
 
 #[cfg(test)]
 mod tests;
 
 use crate::budget::Permit;
+use crate::server_process::ServerProcess;
 use chalkwalk_balancer::ServerIndex;
 use chalkwalk_sockets::is_idle;
 use smol::{Async, Timer};
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// A connection to a server with its permit from the descriptor budget.
 pub struct ServerConnection {
     /// The socket.
     pub stream: Async<TcpStream>,
-    /// The server's address.
-    pub addr: SocketAddr,
+    /// The process that it was opened to.
+    pub process: ServerProcess,
     /// When it was opened, or last returned to the pool.
     pub idle_since: Instant,
     _permit: Permit,
@@ -27,8 +28,8 @@
 
 impl ServerConnection {
     /// A connection that was just opened.
-    pub fn new(stream: Async<TcpStream>, addr: SocketAddr, permit: Permit) -> ServerConnection {
-        ServerConnection { stream, addr, idle_since: Instant::now(), _permit: permit }
+    pub fn new(stream: Async<TcpStream>, process: ServerProcess, permit: Permit) -> ServerConnection {
+        ServerConnection { stream, process, idle_since: Instant::now(), _permit: permit }
     }
 
     /// Whether the connection has been unused for `quiet_time`, so that a late second response to
@@ -79,8 +80,8 @@
 
     /// Returns the most recently used connection among those that have been quiet long enough, if
     /// it can still be reused. If there is none, waits for the one that becomes quiet first.
-    pub async fn acquire(&self, server: ServerIndex, addr: SocketAddr) -> Option<ServerConnection> {
-        while let Some(connection) = self.pop(server, addr) {
+    pub async fn acquire(&self, server: ServerIndex, process: ServerProcess) -> Option<ServerConnection> {
+        while let Some(connection) = self.pop(server, process) {
             if connection.has_been_quiet_for(self.quiet_time) {
                 return Some(connection);
             }
@@ -92,14 +93,14 @@
         None
     }
 
-    fn pop(&self, server: ServerIndex, addr: SocketAddr) -> Option<ServerConnection> {
+    fn pop(&self, server: ServerIndex, process: ServerProcess) -> Option<ServerConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
         while !connections.is_empty() {
             let last_quiet_index =
                 connections.iter().rposition(|connection| connection.has_been_quiet_for(self.quiet_time));
             let connection = connections.remove(last_quiet_index.unwrap_or(0));
-            if connection.addr == addr && self.is_reusable(&connection) {
+            if connection.process == process && self.is_reusable(&connection) {
                 return Some(connection);
             }
         }
--- a/crates/engine/src/request_table/servers.rs
+++ b/crates/engine/src/request_table/servers.rs
@@ -9,8 +9,8 @@
 
 /// The result of applying an endpoint list.
 pub(crate) struct ListOutcome {
-    /// All servers that are draining or gone after the update.
-    pub unavailable: Vec<ServerIndex>,
+    /// All servers that are draining or gone after the update, and those whose process was replaced.
+    pub without_connections: Vec<ServerIndex>,
     /// The changes that the list has made.
     pub changes: ListChanges,
 }
@@ -19,6 +19,7 @@
     /// Applies an endpoint list.
     pub(crate) fn apply_endpoint_list(&mut self, now: Timestamp, update: &ListUpdate<'_>) -> ListOutcome {
         let was_unavailable: Vec<ServerIndex> = self.servers.unavailable().collect();
+        let processes_before = self.servers.processes();
         self.sink.now = now;
         self.balancer.advance_clock(now);
         let endpoints = self.servers.apply(now, update);
@@ -32,7 +33,10 @@
         }
         let changes = self.servers.changes_since(&was_unavailable);
         self.servers.forget_unused(&self.balancer);
-        ListOutcome { unavailable: self.servers.unavailable().collect(), changes }
+        let processes = self.servers.processes();
+        let is_replaced = |server: &ServerIndex| processes_before[*server] != processes[*server];
+        let replaced = (0..processes_before.len()).filter(is_replaced);
+        ListOutcome { without_connections: self.servers.unavailable().chain(replaced).collect(), changes }
     }
 
     /// Reports a discovery call that failed. The balancer then requests another call.
--- a/crates/engine/src/servers.rs
+++ b/crates/engine/src/servers.rs
@@ -4,6 +4,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::server_process::ServerProcess;
 use chalkwalk_balancer::{Balancer, Endpoint, EndpointStatus, ServerIndex};
 pub use chalkwalk_membership::ListedEndpoint;
 use chalkwalk_time::Timestamp;
@@ -35,7 +36,7 @@
 
 /// The data about a server that the engine itself needs.
 struct ServerEntry {
-    addr: SocketAddr,
+    process: ServerProcess,
     /// When it was reported draining or gone, if it was.
     unavailable_since: Option<Timestamp>,
     /// When its process started.
@@ -60,15 +61,22 @@
         ServerRegistry { zones: zones.to_vec(), kinds: kinds.to_vec(), ..ServerRegistry::default() }
     }
 
-    /// The address of a server.
-    pub fn addr(&self, server: ServerIndex) -> Option<SocketAddr> {
-        self.entries.get(server).map(|entry| entry.addr)
+    /// The process that serves at a server's address.
+    pub fn process(&self, server: ServerIndex) -> Option<ServerProcess> {
+        self.entries.get(server).map(|entry| entry.process)
+    }
+
+    /// The processes of all indices, in their order.
+    pub fn processes(&self) -> Vec<ServerProcess> {
+        self.entries.iter().map(|entry| entry.process).collect()
     }
 
     /// The servers in service at the given addresses, in the same order.
     pub fn in_service_at(&self, addrs: &[SocketAddr]) -> Vec<ServerIndex> {
         let in_service = |addr: &SocketAddr| {
-            self.entries.iter().position(|entry| entry.addr == *addr && entry.unavailable_since.is_none())
+            self.entries
+                .iter()
+                .position(|entry| entry.process.addr == *addr && entry.unavailable_since.is_none())
         };
         addrs.iter().filter_map(in_service).collect()
     }
@@ -158,7 +166,11 @@
         let stays_unavailable =
             may_be_stale && unavailable_before.is_some() && endpoint.started_at <= entry.started_at;
         let status = if stays_unavailable { EndpointStatus::Draining } else { endpoint.status };
-        entry.addr = endpoint.address;
+        let is_back = unavailable_before.is_some() && status == EndpointStatus::Ready;
+        if is_back || endpoint.address != entry.process.addr || endpoint.started_at > entry.started_at {
+            entry.process =
+                ServerProcess { addr: endpoint.address, generation: entry.process.generation + 1 };
+        }
         entry.started_at = endpoint.started_at;
         entry.unavailable_since =
             (status != EndpointStatus::Ready).then_some(unavailable_before.unwrap_or(now));
@@ -191,7 +203,10 @@
         }
         let server = self.free_indices.pop().unwrap_or(self.entries.len());
         self.indices.insert(id.to_string(), server);
-        let entry = ServerEntry { addr, unavailable_since: None, started_at: Timestamp::ZERO };
+        // An index that belonged to another server keeps counting.
+        let generation = self.entries.get(server).map_or(0, |unused| unused.process.generation + 1);
+        let process = ServerProcess { addr, generation };
+        let entry = ServerEntry { process, unavailable_since: None, started_at: Timestamp::ZERO };
         match self.entries.get_mut(server) {
             Some(unused) => *unused = entry,
             None => self.entries.push(entry),
--- a/crates/proxy/tests/resp.rs
+++ b/crates/proxy/tests/resp.rs
@@ -9,6 +9,8 @@
 mod long_replies;
 #[path = "resp/many_clients.rs"]
 mod many_clients;
+#[path = "resp/replaced_servers.rs"]
+mod replaced_servers;
 
 use expect_test::expect;
 use serde_json::json;
@@ -153,8 +155,21 @@
         ProxySetup::with_memory_limit(extra_operator_toml, None)
     }
 
+    /// A proxy that learns of its servers from this one, in place of the scripted servers.
+    fn with_seed(seed: SocketAddr) -> ProxySetup {
+        ProxySetup::with_options("", None, Some(seed))
+    }
+
     /// A proxy whose process may hold so many megabytes.
     fn with_memory_limit(extra_operator_toml: &str, memory_mb: Option<usize>) -> ProxySetup {
+        ProxySetup::with_options(extra_operator_toml, memory_mb, None)
+    }
+
+    fn with_options(
+        extra_operator_toml: &str,
+        memory_mb: Option<usize>,
+        seed: Option<SocketAddr>,
+    ) -> ProxySetup {
         static NTH: AtomicUsize = AtomicUsize::new(0);
         let nth = NTH.fetch_add(2, Ordering::SeqCst);
         let commands = CommandLog::default();
@@ -183,8 +198,9 @@
         }
         let resp_addr = unique_addr(nth + 1);
         let operator = format!(
-            "version = 1\n[resp]\nlisten = \"{resp_addr}\"\nseeds = [\"{addr_a}\"]\nnamespace = \"page\"\n{}[[resp.prefix]]\n\
+            "version = 1\n[resp]\nlisten = \"{resp_addr}\"\nseeds = [\"{}\"]\nnamespace = \"page\"\n{}[[resp.prefix]]\n\
              prefix = \"breaks:once\"\nnamespace = \"once\"\n{}[end]\n",
+            seed.unwrap_or(addr_a),
             if extra_operator_toml.starts_with('[') { "" } else { extra_operator_toml },
             if extra_operator_toml.starts_with('[') { extra_operator_toml } else { "" },
         );
@@ -202,13 +218,19 @@
         let setup = ProxySetup { proxy, resp_addr, commands };
         let end = Instant::now() + Duration::from_secs(20);
         // Until the proxy has loaded the slot map, it rejects every command.
-        while !setup.request("AUTH lib s3\r\nGET ready\r\n").contains("\r\n$5\r\n") && Instant::now() < end {
+        while !setup.is_ready() && Instant::now() < end {
             sleep(Duration::from_millis(10));
         }
         setup.commands.lock().unwrap().clear();
         setup
     }
 
+    /// Whether the proxy has loaded the slot map.
+    fn is_ready(&self) -> bool {
+        let reply = self.request("AUTH lib s3\r\nGET ready\r\n");
+        reply.contains("\r\n$5\r\n") || reply.contains("\r\n+")
+    }
+
     fn connect(&self) -> Option<TcpStream> {
         let stream = TcpStream::connect(self.resp_addr).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -21,6 +21,8 @@
 mod outcomes;
 #[path = "sockets/repeated_ids.rs"]
 mod repeated_ids;
+#[path = "sockets/replaced_servers.rs"]
+mod replaced_servers;
 #[path = "sockets/responses.rs"]
 mod responses;
 
--- a/crates/resp-frontend/src/frontend.rs
+++ b/crates/resp-frontend/src/frontend.rs
@@ -1,5 +1,6 @@
 //! The state that all connections of this frontend share.
 
+use crate::known_nodes::KnownNodes;
 use crate::settings::Settings;
 use chalkwalk_engine::engine::Engine;
 use chalkwalk_slot_map::{RefreshSchedule, SlotMap};
@@ -27,6 +28,8 @@
     refresh_receiver: Receiver<()>,
     /// The number of connections so far, from which connection ids are derived.
     connection_count: Cell<u64>,
+    /// The nodes by address, with the id that the cluster reports.
+    pub(crate) known_nodes: RefCell<KnownNodes>,
     /// Whether the nodes that the cluster reports are the endpoint list.
     pub(crate) discovers_servers: bool,
 }
@@ -44,6 +47,7 @@
             refresh_sender,
             refresh_receiver,
             connection_count: Cell::new(0),
+            known_nodes: RefCell::default(),
             discovers_servers,
         })
     }
--- a/crates/resp-frontend/src/lib.rs
+++ b/crates/resp-frontend/src/lib.rs
@@ -19,6 +19,7 @@
 mod connection;
 mod frontend;
 mod health_check;
+mod known_nodes;
 mod long_reply;
 mod merge;
 mod message_cost;
--- a/crates/resp-frontend/src/slot_map_poll.rs
+++ b/crates/resp-frontend/src/slot_map_poll.rs
@@ -8,7 +8,6 @@
 use chalkwalk_engine::servers::ListedEndpoint;
 use chalkwalk_slot_map::ClusterView;
 use chalkwalk_sockets::with_timeout;
-use chalkwalk_time::Timestamp;
 use fetch::{FetchError, fetch_view};
 use slog::{info, warn};
 use smol::Timer;
@@ -89,6 +88,8 @@
     let view = with_timeout(POLL_TIMEOUT, fetch_view(node)).await.unwrap_or(Err(FetchError::TimedOut))?;
     frontend.slot_map.borrow_mut().apply_view(&view)?;
     if frontend.discovers_servers {
+        let now = frontend.engine.clock.now();
+        frontend.known_nodes.borrow_mut().update(&view, now);
         apply_endpoints(frontend, live_nodes(&view));
     }
     Ok(())
@@ -115,6 +116,6 @@
         cell: 0,
         weight_hundredths: DEFAULT_WEIGHT_HUNDREDTHS,
         status: EndpointStatus::Ready,
-        started_at: Timestamp::ZERO,
+        started_at: frontend.known_nodes.borrow().started_at(address),
     }
 }
