Share the ids of requests that must not run twice over an upgrade

What callers saw: a single-use request is at a server when its client leaves; the client comes again with the same id at the new process of an upgrade, and the request is sent a second time.

Cause: each process knew its own ids alone.

A claim is written before the others are read, so that one of two processes always sees the other.

Measured: an_id_that_comes_again_at_the_new_process_does_not_run_twice fails on the old program (two requests at the server, 500) and passes (one, 409).

--- a/crates/http-frontend/src/connection.rs
+++ b/crates/http-frontend/src/connection.rs
@@ -1,10 +1,11 @@
 //! Serves one client connection: passes its requests through the stages, one request at a time.
 
-use crate::admit::{Admitted, admit};
+use crate::admit::{AdmitError, Admitted, admit};
 use crate::frontend::Frontend;
 use crate::read_request::read_request;
 use crate::reply::Reply;
 use crate::route::route;
+use crate::shared_ids::ClaimError;
 use crate::write_reply::{ReplyOptions, ReplyOutcome, refuse, write_reply};
 use chalkwalk_engine::budget::Permit;
 use chalkwalk_engine::engine::ClientConnection;
@@ -131,9 +132,11 @@
             Err(error) => Some(Reply::empty(error.status())),
             Ok(Admitted::Readiness { ready }) => Some(Reply::empty(if ready { 200 } else { 503 })),
             Ok(Admitted::Request(_)) if !self.admitted => Some(Reply::empty(503)),
-            Ok(Admitted::Request(request)) => {
-                route(&self.frontend.engine, &self.stream, &mut self.read_ahead, request).await
-            }
+            Ok(Admitted::Request(request)) => match request.open_id.claim_shared().await {
+                Ok(()) => route(&self.frontend.engine, &self.stream, &mut self.read_ahead, request).await,
+                Err(ClaimError::InUse) => Some(Reply::empty(AdmitError::IdInUse.status())),
+                Err(ClaimError::Unavailable) => Some(Reply::empty(503)),
+            },
         }
     }
 }
--- a/crates/http-frontend/src/frontend.rs
+++ b/crates/http-frontend/src/frontend.rs
@@ -1,6 +1,7 @@
 //! State shared by all connections of this frontend.
 
 use crate::request_ids::RequestIds;
+use crate::shared_ids::SharedIds;
 use chalkwalk_engine::engine::Engine;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -22,6 +23,11 @@
         Rc::new(Frontend { engine, namespaces: RefCell::new(namespaces), request_ids: RequestIds::default() })
     }
 
+    /// Shares the ids of requests with the other processes of the proxy.
+    pub fn share_ids(&self, shared: Rc<dyn SharedIds>) {
+        self.request_ids.share(shared);
+    }
+
     /// Replaces the namespaces that requests may name.
     pub fn set_namespaces(&self, namespaces: Vec<String>) {
         *self.namespaces.borrow_mut() = namespaces;
--- a/crates/http-frontend/src/lib.rs
+++ b/crates/http-frontend/src/lib.rs
@@ -22,8 +22,10 @@
 mod request_ids;
 mod route;
 mod server_response;
+mod shared_ids;
 mod write_reply;
 
 pub use accept::accept_connections;
 pub use frontend::{FRONTEND_NAME, Frontend};
 pub use health_check::HttpHealthCheck;
+pub use shared_ids::{ClaimError, SharedClaim, SharedIds};
--- a/crates/http-frontend/src/request_ids.rs
+++ b/crates/http-frontend/src/request_ids.rs
@@ -4,8 +4,9 @@
 //! An id belongs to one request. One that comes again while its request is open, or after a request
 //! that must not run twice may have run, is not accepted: its client may have left before the answer.
 
+use crate::shared_ids::{ClaimError, SharedClaim, SharedIds};
 use sha2::{Digest, Sha256};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,7 +21,11 @@
 
 /// The ids of the requests of one process.
 #[derive(Clone, Default)]
-pub(crate) struct RequestIds(Rc<RefCell<IdTable>>);
+pub(crate) struct RequestIds {
+    table: Rc<RefCell<IdTable>>,
+    /// The ids of all processes of the proxy, if they share them.
+    shared: Rc<OnceCell<Rc<dyn SharedIds>>>,
+}
 
 #[derive(Default)]
 struct IdTable {
@@ -38,23 +43,44 @@
     is_replayable: bool,
     sent: Cell<bool>,
     refused: Cell<bool>,
+    shared_claim: Cell<Option<SharedClaim>>,
 }
 
 impl RequestIds {
+    /// Shares the ids with the other processes of the proxy.
+    pub fn share(&self, shared: Rc<dyn SharedIds>) {
+        _ = self.shared.set(shared);
+    }
+
     /// Claims the id of a request, or returns `None` if it belongs to another one.
     pub fn claim(&self, id: &[u8], is_replayable: bool) -> Option<OpenId> {
         let id = hash(id);
-        let mut table = self.0.borrow_mut();
+        let mut table = self.table.borrow_mut();
         table.forget_old(Instant::now());
         if table.used.contains(&id) || !table.open.insert(id) {
             return None;
         }
         let ids = self.clone();
-        Some(OpenId { ids, id, is_replayable, sent: Cell::new(false), refused: Cell::new(false) })
+        Some(OpenId {
+            ids,
+            id,
+            is_replayable,
+            sent: Cell::new(false),
+            refused: Cell::new(false),
+            shared_claim: Cell::default(),
+        })
     }
 }
 
 impl OpenId {
+    /// Claims the id among all processes of the proxy.
+    pub async fn claim_shared(&self) -> Result<(), ClaimError> {
+        if let Some(shared) = self.ids.shared.get().filter(|_| !self.is_replayable) {
+            self.shared_claim.set(Some(shared.claim(self.id).await?));
+        }
+        Ok(())
+    }
+
     /// Records that the request was written to a server and may run there.
     pub fn mark_sent(&self) {
         self.sent.set(true);
@@ -68,10 +94,12 @@
 
 impl Drop for OpenId {
     fn drop(&mut self) {
-        let mut table = self.ids.0.borrow_mut();
+        let mut table = self.ids.table.borrow_mut();
         table.open.remove(&self.id);
         if self.sent.get() && !self.refused.get() && !self.is_replayable {
             table.remember(self.id, Instant::now());
+        } else if let (Some(shared), Some(claim)) = (self.ids.shared.get(), self.shared_claim.get()) {
+            shared.release(claim);
         }
     }
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -13,6 +13,7 @@
 mod reload;
 mod resp_settings;
 mod serve;
+mod shared_ids;
 mod startup;
 mod state_files;
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::operators::Operators;
 use crate::reload::{FixedSettings, reload};
 use crate::resp_settings::resp_settings;
+use crate::shared_ids::{DISCOVERY_TIME, IdFiles};
 use crate::startup::{StartupFiles, StartupSettings};
 use async_signal::{Signal, Signals};
 use chalkwalk_admin as admin;
@@ -17,7 +18,7 @@
 use chalkwalk_engine::{background, shutdown};
 use chalkwalk_http_frontend as http;
 use chalkwalk_resp_frontend as resp_frontend;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use smol::stream::StreamExt;
 use smol::{Async, Task, Timer};
 use std::net::TcpListener;
@@ -150,11 +151,15 @@
         // namespaces, and only reports whether the proxy is up.
         let namespaces = if fixed.resp.is_some() { Vec::new() } else { namespaces };
         let frontend = http::Frontend::new(engine.clone(), namespaces);
+        let shares_ids = context.is_inherited && share_ids(&engine, &frontend);
         let is_pushed = endpoint_source.as_ref().is_some_and(|source| source.is_pushed(&engine));
         let operators = sockets.admin_listener.map(|listener| Operators::start(&engine, listener));
         let feed = endpoint_source.as_ref().and_then(EndpointSource::feed);
         let serving_engine = engine.clone();
         let serving = async move {
+            if shares_ids {
+                Timer::after(DISCOVERY_TIME).await;
+            }
             enter_service(&serving_engine, feed, context.is_inherited, is_pushed).await;
             info!(serving_engine.log, "serving"; "listen" => %context.listen_address);
         };
@@ -194,6 +199,23 @@
     }
 }
 
+/// Shares the ids of requests with the other processes that accept on the same listener. Returns
+/// whether they are shared.
+fn share_ids(engine: &Rc<Engine>, frontend: &http::Frontend) -> bool {
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
+    let Some(folder) = folder else { return false };
+    match IdFiles::start(engine, folder.into()) {
+        Ok(files) => {
+            frontend.share_ids(files);
+            true
+        }
+        Err(error) => {
+            warn!(engine.log, "ids not shared with other processes"; "fault" => %error);
+            false
+        }
+    }
+}
+
 fn start_resp_frontend(
     engine: &Rc<Engine>,
     settings: resp_frontend::Settings,
--- a/crates/proxy/tests/sockets/operators.rs
+++ b/crates/proxy/tests/sockets/operators.rs
@@ -500,3 +500,35 @@
     let birch = [valid_learned, corrupt_learned, none].map(|(_, seen)| seen[1]);
     assert!(birch[0] * 2 <= birch[1] && birch[1] == birch[2], "requests to the overloaded server: {birch:?}");
 }
+
+/// Guards against a second run of a single-use request whose client left before the answer and came
+/// again with the same id, at the other process of an upgrade.
+#[test]
+fn an_id_that_comes_again_at_the_new_process_does_not_run_twice() {
+    let (observed, mut entries) = (Observed::default(), Vec::new());
+    let (listener, addr) = bind_listener();
+    entries.push(list_entry("amber", addr, "SERVING"));
+    stand_in_server(listener, observed.clone(), "amber", |_| ("", false));
+    let shared = SharedListener::new("repeated-id", &entries);
+    let old = shared.start();
+    old.wait_ready();
+    let request =
+        "GET /api/k HTTP/1.1\r\nX-Correlation-Id: same\r\nX-Service-Class: once\r\nX-Time-Left: 2\r\n\r\n";
+    let mut client = shared.connect();
+    client.write_all(request.as_bytes()).unwrap();
+    wait_for(|| observed.lines.lock().unwrap().len() == 1);
+    drop(client);
+    let new = shared.start();
+    new.wait_ready();
+    // The old process ends and leaves the listener to the new one.
+    old.signal("-TERM");
+    let old_pid = old.child.id().to_string();
+    wait_for(|| {
+        let stat = std::fs::read_to_string(format!("/proc/{old_pid}/stat")).unwrap_or_default();
+        stat.is_empty() || stat.contains(") Z ")
+    });
+    let mut client = shared.connect();
+    client.write_all(request.as_bytes()).unwrap();
+    let status = read_message(&mut client).map(|(head, _)| head[9..12].to_string());
+    assert_eq!((status.as_deref(), observed.lines.lock().unwrap().len()), (Some("409"), 1));
+}
--- a/crates/proxy/tests/sockets/replaced_servers.rs
+++ b/crates/proxy/tests/sockets/replaced_servers.rs
@@ -1,6 +1,7 @@
 //! A new process at the address of one that had gone: it gets its requests on its own connections.
 
 use super::*;
+use std::slice::from_ref;
 
 /// A server whose process is replaced by another one at the same address. The old one keeps its open
 /// connections, as a process that finishes its work does.
@@ -41,7 +42,7 @@
         let mut new_entry = list_entry(new_id, server.addr, "SERVING");
         new_entry["started_ms"] = json!(started_ms as u64);
         let lists =
-            |_: &[Value]| vec![full_list(2, &[old_entry.clone()]), full_list(3, &[new_entry.clone()])];
+            |_: &[Value]| vec![full_list(2, from_ref(&old_entry)), full_list(3, from_ref(&new_entry))];
         let gate = LastListGate::closed();
         let setup = ProxySetup::with_last_list_gate(&[], 256, "", lists, gate.clone());
         let ask = |key: &str| {
