Count a RESP connection as idle once its replies are written

Cause: whether it is idle was worked out once, while the last reply was still in the queue.

Change: the wait for the close begins when the queue is empty. A command that had arrived by then is still accepted.

--- a/crates/proxy/tests/resp.rs
+++ b/crates/proxy/tests/resp.rs
@@ -11,6 +11,8 @@
 mod many_clients;
 #[path = "resp/replaced_servers.rs"]
 mod replaced_servers;
+#[path = "resp/shutdown.rs"]
+mod shutdown;
 
 use expect_test::expect;
 use serde_json::json;
--- a/crates/resp-frontend/src/connection/backpressure.rs
+++ b/crates/resp-frontend/src/connection/backpressure.rs
@@ -18,8 +18,8 @@
 /// Bytes of replies of one connection that may wait for the client to read them. At this limit no
 /// further command is accepted.
 pub const MAX_UNREAD_BYTES: usize = 256 << 10;
-/// Interval at which the unread bytes are checked, short compared with any time limit.
-const UNREAD_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which the queue and the unread bytes are checked, short compared with any time limit.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A reply, and its permit to wait in the queue. The permit is returned once the reply is written.
 pub struct QueuedReply {
@@ -60,10 +60,12 @@
         self.push(PendingReply::Ready(EncodedReply::last(Vec::new()))).await;
     }
 
-    /// Whether all replies have been written.
-    pub fn is_empty(&self) -> bool {
+    /// Waits until all replies have been written.
+    pub async fn wait_until_empty(&self) {
         // Each permit that has been acquired holds a reference to the semaphore.
-        Arc::strong_count(&self.permits) == 1
+        while Arc::strong_count(&self.permits) > 1 {
+            Timer::after(POLL_INTERVAL).await;
+        }
     }
 }
 
@@ -94,7 +96,7 @@
     /// Waits until the client has read so much that the number of bytes is below the limit.
     pub async fn wait_below_limit(&self) {
         while self.0.get() >= MAX_UNREAD_BYTES {
-            Timer::after(UNREAD_POLL_INTERVAL).await;
+            Timer::after(POLL_INTERVAL).await;
         }
     }
 }
--- a/crates/resp-frontend/src/connection/command_reader.rs
+++ b/crates/resp-frontend/src/connection/command_reader.rs
@@ -4,7 +4,9 @@
 use crate::message_cost::message_cost;
 use crate::parse::parse_command;
 use chalkwalk_resp::{ProtocolError, ReadLimits, Reader};
-use chalkwalk_sockets::{LATER_READ_BYTES, MessageMemory, MessageReservation, read_more, with_timeout};
+use chalkwalk_sockets::{
+    LATER_READ_BYTES, MessageMemory, MessageReservation, is_idle, read_more, with_timeout,
+};
 use smol::Async;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -147,6 +149,11 @@
         }
     }
 
+    /// Reads bytes that have already arrived. Returns whether there were any.
+    pub async fn read_arrived(&mut self) -> bool {
+        !is_idle(self.stream) && self.read_more().await == ReadOutcome::Received
+    }
+
     /// Reserves memory for the incomplete command as far as it is announced, so that commands that
     /// arrive at the same time do not keep each other from being completed. Returns false if too
     /// little is free for too long.
--- a/crates/resp-frontend/src/connection/receive.rs
+++ b/crates/resp-frontend/src/connection/receive.rs
@@ -120,13 +120,14 @@
             replies.close().await;
             return false;
         }
-        let idle = replies.is_empty();
         let close_requested = async {
-            wait_for_close_while_idle(self.connection, idle, self.has_sent_command).await;
+            replies.wait_until_empty().await;
+            wait_until_close_due(self.connection, self.has_sent_command).await;
             ReadOutcome::Ended
         };
         let received = with_timeout(IDLE_TIMEOUT, self.reader.read_more().or(close_requested)).await;
-        let received = received == Some(ReadOutcome::Received);
+        // A command whose first bytes arrived before the close is still accepted.
+        let received = received == Some(ReadOutcome::Received) || self.reader.read_arrived().await;
         if !received {
             replies.close().await;
         }
@@ -138,11 +139,8 @@
     PendingReply::Ready(EncodedReply::last(error_reply(error)))
 }
 
-/// Waits until an idle connection has to be closed. Never returns if the connection is not idle.
-async fn wait_for_close_while_idle(connection: &ClientConnection, idle: bool, has_sent_command: bool) {
-    if !idle {
-        return std::future::pending().await;
-    }
+/// Waits until an idle connection has to be closed.
+async fn wait_until_close_due(connection: &ClientConnection, has_sent_command: bool) {
     let evicted = wait_for_eviction(&connection.engine, has_sent_command);
     evicted.or(connection.wait_until_close_due()).await;
 }
