Hand the drains that were told over to the next process

Cause: the handover record named operators' calls alone.

Change: the record holds the servers that are draining or gone, with the start of their processes. A new process that follows the platform's list adopts them until it has a list of its own.

The new test in operators.rs fails on the old program (requests at the draining server) and passes.

--- a/crates/engine/src/api.rs
+++ b/crates/engine/src/api.rs
@@ -11,6 +11,7 @@
 use chalkwalk_time::{Span, Timestamp};
 use slog::info;
 use smol::channel::Receiver;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Accepts a request. Its one final response is sent on the returned channel.
@@ -55,6 +56,15 @@
     }
 }
 
+/// Applies what another process of this proxy was told: these servers, by id and the start of their
+/// processes, are draining or gone.
+pub fn apply_drains(engine: &Rc<Engine>, starts: &BTreeMap<String, Timestamp>) {
+    let endpoints = engine.requests.borrow().servers.as_draining(starts);
+    if !endpoints.is_empty() {
+        apply_endpoint_list(engine, &endpoints, false, false);
+    }
+}
+
 /// Maximum number of server ids in one field of a log line. One list can change the status of every
 /// server of a large fleet.
 const MAX_LOGGED_IDS: usize = 8;
--- a/crates/engine/src/servers.rs
+++ b/crates/engine/src/servers.rs
@@ -8,7 +8,7 @@
 use chalkwalk_balancer::{Balancer, Endpoint, EndpointStatus, ServerIndex};
 pub use chalkwalk_membership::ListedEndpoint;
 use chalkwalk_time::Timestamp;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// The changes that a list has made, as sorted server ids.
@@ -39,8 +39,8 @@
     process: ServerProcess,
     /// When it was reported draining or gone, if it was.
     unavailable_since: Option<Timestamp>,
-    /// When its process started.
-    started_at: Timestamp,
+    /// The server as it was listed last.
+    listed: ListedEndpoint,
 }
 
 /// The servers by id and by index.
@@ -113,8 +113,9 @@
     /// restarted since the endpoint was read.
     pub fn is_ready(&self, endpoint: &ListedEndpoint) -> bool {
         let entry = self.index_of(&endpoint.id).map(|server| &self.entries[server]);
-        entry
-            .is_some_and(|entry| entry.unavailable_since.is_none() && entry.started_at <= endpoint.started_at)
+        entry.is_some_and(|entry| {
+            entry.unavailable_since.is_none() && entry.listed.started_at <= endpoint.started_at
+        })
     }
 
     /// The servers that are draining or gone, in the order of their indices.
@@ -126,6 +127,24 @@
             .map(|(server, _)| server)
     }
 
+    /// The servers that are draining or gone, by id, with the start of the process that is.
+    pub fn unavailable_starts(&self) -> BTreeMap<String, Timestamp> {
+        let unavailable = self.indices.iter().map(|(id, server)| (id, &self.entries[*server]));
+        let unavailable = unavailable.filter(|(_, entry)| entry.unavailable_since.is_some());
+        unavailable.map(|(id, entry)| (id.clone(), entry.listed.started_at)).collect()
+    }
+
+    /// Those of the given servers that are in service here, with the given start or an earlier one,
+    /// listed as draining.
+    pub fn as_draining(&self, starts: &BTreeMap<String, Timestamp>) -> Vec<ListedEndpoint> {
+        let in_service = |(id, started_at): (&String, &Timestamp)| {
+            let entry = &self.entries[self.index_of(id)?];
+            let is_named = entry.unavailable_since.is_none() && entry.listed.started_at <= *started_at;
+            is_named.then(|| ListedEndpoint { status: EndpointStatus::Draining, ..entry.listed.clone() })
+        };
+        starts.iter().filter_map(in_service).collect()
+    }
+
     /// Applies an update, and returns its endpoints with server indices, for the balancer.
     pub fn apply<'a>(&mut self, now: Timestamp, update: &ListUpdate<'a>) -> Vec<Endpoint<'a>> {
         let previously_unavailable_since: Vec<Option<Timestamp>> =
@@ -136,7 +155,7 @@
             }
         }
         let apply_one = |endpoint: &'a ListedEndpoint| {
-            let server = self.index_or_insert(&endpoint.id, endpoint.address);
+            let server = self.index_or_insert(endpoint);
             let unavailable_before = previously_unavailable_since.get(server).copied().flatten();
             let status = self.update_entry(now, server, endpoint, unavailable_before, update.may_be_stale);
             Endpoint {
@@ -164,14 +183,15 @@
     ) -> EndpointStatus {
         let entry = &mut self.entries[server];
         let stays_unavailable =
-            may_be_stale && unavailable_before.is_some() && endpoint.started_at <= entry.started_at;
+            may_be_stale && unavailable_before.is_some() && endpoint.started_at <= entry.listed.started_at;
         let status = if stays_unavailable { EndpointStatus::Draining } else { endpoint.status };
         let is_back = unavailable_before.is_some() && status == EndpointStatus::Ready;
-        if is_back || endpoint.address != entry.process.addr || endpoint.started_at > entry.started_at {
+        if is_back || endpoint.address != entry.process.addr || endpoint.started_at > entry.listed.started_at
+        {
             entry.process =
                 ServerProcess { addr: endpoint.address, generation: entry.process.generation + 1 };
         }
-        entry.started_at = endpoint.started_at;
+        entry.listed = endpoint.clone();
         entry.unavailable_since =
             (status != EndpointStatus::Ready).then_some(unavailable_before.unwrap_or(now));
         status
@@ -197,16 +217,17 @@
         free_indices.sort_unstable();
     }
 
-    fn index_or_insert(&mut self, id: &str, addr: SocketAddr) -> ServerIndex {
-        if let Some(server) = self.indices.get(id) {
+    fn index_or_insert(&mut self, endpoint: &ListedEndpoint) -> ServerIndex {
+        if let Some(server) = self.indices.get(&endpoint.id) {
             return *server;
         }
         let server = self.free_indices.pop().unwrap_or(self.entries.len());
-        self.indices.insert(id.to_string(), server);
+        self.indices.insert(endpoint.id.clone(), server);
         // An index that belonged to another server keeps counting.
         let generation = self.entries.get(server).map_or(0, |unused| unused.process.generation + 1);
-        let process = ServerProcess { addr, generation };
-        let entry = ServerEntry { process, unavailable_since: None, started_at: Timestamp::ZERO };
+        let process = ServerProcess { addr: endpoint.address, generation };
+        let listed = ListedEndpoint { started_at: Timestamp::ZERO, ..endpoint.clone() };
+        let entry = ServerEntry { process, unavailable_since: None, listed };
         match self.entries.get_mut(server) {
             Some(unused) => *unused = entry,
             None => self.entries.push(entry),
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -51,6 +51,9 @@
     /// Serializes writes of the record, so that the latest record is the one that remains on disk.
     write_lock: Mutex<()>,
     state: RefCell<SharedState>,
+    /// Whether this process adopts the drains that another one was told, until it has a list of its
+    /// own. It does with the platform's list; other sources keep their drains themselves.
+    adopts_drains: bool,
     /// The task that holds the descriptors reserved for another process, while there is one.
     peer_descriptors: RefCell<Option<Task<()>>>,
 }
@@ -58,13 +61,14 @@
 impl Operators {
     /// Adopts the overrides that operators set in other processes of this proxy, and starts to
     /// accept operators' calls.
-    pub fn start(engine: &Rc<Engine>, listener: Async<TcpListener>) -> Rc<Operators> {
+    pub fn start(engine: &Rc<Engine>, listener: Async<TcpListener>, adopts_drains: bool) -> Rc<Operators> {
         let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(Into::into);
         let state = SharedState::new(folder, &engine.config.name, engine.clock.now());
         let operators = Rc::new(Operators {
             engine: engine.clone(),
             write_lock: Mutex::new(()),
             state: RefCell::new(state),
+            adopts_drains,
             peer_descriptors: RefCell::default(),
         });
         // No request is served yet, so this read may block on the disk.
@@ -83,6 +87,7 @@
         loop {
             self.read_peers().await;
             self.share_readiness().await;
+            self.share_drains().await;
             if self.engine.clock.now() >= learned_written_at + LEARNED_WRITE_INTERVAL {
                 learned_written_at = self.engine.clock.now();
                 self.write_learned().await;
@@ -102,6 +107,16 @@
         }
     }
 
+    /// Writes the servers that are draining or gone to this process's record, if they have changed: a
+    /// successor that gets no list of its own has to know them.
+    async fn share_drains(&self) {
+        let drains = self.engine.requests.borrow().servers.unavailable_starts();
+        if drains != self.state.borrow().own_record.drains {
+            self.state.borrow_mut().own_record.drains = drains;
+            self.write().await;
+        }
+    }
+
     /// Reads the other processes' records in another thread, because a busy disk blocks the reader.
     /// Then removes the files of processes that have ended.
     async fn read_peers(&self) {
@@ -125,6 +140,9 @@
         let update = self.state.borrow_mut().merge(peers, &engine.log);
         engine.lifecycle.set_superseded(update.is_superseded);
         self.reserve_peer_descriptors(update.has_live_peer);
+        if self.adopts_drains && !engine.has_received_list() {
+            api::apply_drains(engine, &update.drains);
+        }
         for id in &update.servers {
             let current = self.state.borrow().own_record.server_override(id);
             api::set_server_disabled(engine, id, current.is_disabled, current.decided_at);
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -153,7 +153,9 @@
         let frontend = http::Frontend::new(engine.clone(), namespaces);
         let shares_ids = context.is_inherited && share_ids(&engine, &frontend);
         let is_pushed = endpoint_source.as_ref().is_some_and(|source| source.is_pushed(&engine));
-        let operators = sockets.admin_listener.map(|listener| Operators::start(&engine, listener));
+        let adopts_drains = matches!(&endpoint_source, Some(EndpointSource::Platform(_)));
+        let operators =
+            sockets.admin_listener.map(|listener| Operators::start(&engine, listener, adopts_drains));
         let feed = endpoint_source.as_ref().and_then(EndpointSource::feed);
         let serving_engine = engine.clone();
         let serving = async move {
--- a/crates/proxy/src/state_files.rs
+++ b/crates/proxy/src/state_files.rs
@@ -8,7 +8,7 @@
 use chalkwalk_time::Timestamp;
 pub use reader::{PeerFile, PeerReader};
 use slog::{Logger, warn};
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::path::{Path, PathBuf};
 pub use writer::{RecordWriter, WriteError};
 
@@ -44,6 +44,9 @@
     pub learned: LearnedServers,
     /// Whether another process of this proxy is alive.
     pub has_live_peer: bool,
+    /// The servers that another live process was told are draining or gone, by id, with the start
+    /// of the server's process.
+    pub drains: BTreeMap<String, Timestamp>,
     /// Files of processes that have ended, whose overrides this process's record now includes.
     pub ended_files: Vec<PathBuf>,
 }
@@ -104,6 +107,7 @@
         }
         if peer.is_alive {
             update.has_live_peer = true;
+            update.drains.extend(record.drains.clone());
             update.is_superseded |= self.own_record.is_succeeded_by(record);
         } else if self.own_record.ready_since.is_some() {
             update.ended_files.push(peer.path.clone());
--- a/crates/proxy/tests/sockets/operators.rs
+++ b/crates/proxy/tests/sockets/operators.rs
@@ -532,3 +532,30 @@
     let status = read_message(&mut client).map(|(head, _)| head[9..12].to_string());
     assert_eq!((status.as_deref(), observed.lines.lock().unwrap().len()), (Some("409"), 1));
 }
+
+/// Guards against requests to a server that the old process of an upgrade was told is draining, where
+/// the new process gets no list and serves with the one that it was started with.
+#[test]
+fn a_new_process_without_a_list_knows_the_drains_of_the_old_one() {
+    let (observed, entries) = servers(&["amber", "birch"]);
+    let mut draining = entries[0].clone();
+    draining["state"] = json!("DRAINING");
+    let drain = json!({"version": 3, "full": false, "servers": [draining]}).to_string();
+    // Discovery answers no call after the two of the old process.
+    let lists = vec![full_list(2, &entries), drain, String::new()];
+    let shared = SharedListener::with_lists("drains", &entries, lists);
+    let mut old = shared.start();
+    old.wait_ready();
+    let reached_amber = || {
+        observed.lines.lock().unwrap().clear();
+        let mut client = shared.connect();
+        (0..40).for_each(|nth| assert_eq!(request(&mut client, &format!("k{nth}")), "200"));
+        observed.lines.lock().unwrap().iter().any(|line| line.starts_with("amber"))
+    };
+    wait_for(|| !reached_amber());
+    let new = shared.start();
+    new.wait_ready();
+    old.signal("-TERM");
+    assert!(old.child.wait().unwrap().success());
+    assert!(!reached_amber(), "the new process sends requests to the draining server");
+}
