Keep the handover record's form: the drains get a file of their own

What was seen: stored_data.rs, a_process_takes_over_from_an_earlier_version, was red: a process that was told of a drain wrote a field that the stored form does not have.

--- a/crates/handover/src/record.rs
+++ b/crates/handover/src/record.rs
@@ -29,10 +29,6 @@
     /// What the process learned about the servers. Missing in files of earlier versions.
     #[serde(default)]
     pub learned: LearnedServers,
-    /// The servers that the process was told are draining or gone, by id, with the start of the
-    /// server's process. Missing in files of earlier versions.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub drains: BTreeMap<String, Timestamp>,
 }
 
 /// What a merge changed.
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -4,10 +4,11 @@
 mod control;
 mod learned;
 
-use crate::state_files::{HandoverUpdate, PeerFile, SharedState};
+use crate::state_files::{HandoverUpdate, PeerFile, RecordWriter, SharedState, WriteError};
 use chalkwalk_admin::{self as admin};
 use chalkwalk_engine::api;
 use chalkwalk_engine::engine::Engine;
+use chalkwalk_handover::ToldDrains;
 use chalkwalk_sockets::with_timeout;
 use chalkwalk_time::Span;
 use slog::{info, warn};
@@ -107,14 +108,16 @@
         }
     }
 
-    /// Writes the servers that are draining or gone to this process's record, if they have changed: a
-    /// successor that gets no list of its own has to know them.
+    /// Writes the servers that are draining or gone, if they have changed: a successor that gets no
+    /// list of its own has to know them.
     async fn share_drains(&self) {
-        let drains = self.engine.requests.borrow().servers.unavailable_starts();
-        if drains != self.state.borrow().own_record.drains {
-            self.state.borrow_mut().own_record.drains = drains;
-            self.write().await;
+        let starts = self.engine.requests.borrow().servers.unavailable_starts();
+        if starts == self.state.borrow().own_drains.starts {
+            return;
         }
+        self.state.borrow_mut().own_drains = ToldDrains { starts };
+        let writer = self.state.borrow().drains_writer();
+        self.run_write(writer).await;
     }
 
     /// Reads the other processes' records in another thread, because a busy disk blocks the reader.
@@ -173,6 +176,11 @@
     async fn write(&self) -> bool {
         let _write_guard = self.write_lock.lock().await;
         let writer = self.state.borrow_mut().writer(self.engine.clock.now());
+        self.run_write(writer).await
+    }
+
+    /// Runs a write, and logs a failure.
+    async fn run_write(&self, writer: Result<Option<RecordWriter>, WriteError>) -> bool {
         let written = match writer {
             Ok(Some(writer)) => unblock(|| writer.write()).await,
             Ok(None) => Ok(()),
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::operators::Operators;
 use crate::reload::{FixedSettings, reload};
 use crate::resp_settings::resp_settings;
-use crate::shared_ids::{DISCOVERY_TIME, IdFiles};
+use crate::shared_ids::IdFiles;
 use crate::startup::{StartupFiles, StartupSettings};
 use async_signal::{Signal, Signals};
 use chalkwalk_admin as admin;
@@ -151,7 +151,7 @@
         // namespaces, and only reports whether the proxy is up.
         let namespaces = if fixed.resp.is_some() { Vec::new() } else { namespaces };
         let frontend = http::Frontend::new(engine.clone(), namespaces);
-        let shares_ids = context.is_inherited && share_ids(&engine, &frontend);
+        let shared_ids = context.is_inherited.then(|| share_ids(&engine, &frontend)).flatten();
         let is_pushed = endpoint_source.as_ref().is_some_and(|source| source.is_pushed(&engine));
         let adopts_drains = matches!(&endpoint_source, Some(EndpointSource::Platform(_)));
         let operators =
@@ -159,8 +159,8 @@
         let feed = endpoint_source.as_ref().and_then(EndpointSource::feed);
         let serving_engine = engine.clone();
         let serving = async move {
-            if shares_ids {
-                Timer::after(DISCOVERY_TIME).await;
+            if let Some(shared_ids) = shared_ids {
+                shared_ids.wait_until_found().await;
             }
             enter_service(&serving_engine, feed, context.is_inherited, is_pushed).await;
             info!(serving_engine.log, "serving"; "listen" => %context.listen_address);
@@ -201,19 +201,18 @@
     }
 }
 
-/// Shares the ids of requests with the other processes that accept on the same listener. Returns
-/// whether they are shared.
-fn share_ids(engine: &Rc<Engine>, frontend: &http::Frontend) -> bool {
-    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
-    let Some(folder) = folder else { return false };
+/// Shares the ids of requests with the other processes that accept on the same listener, if there is
+/// a folder for their files.
+fn share_ids(engine: &Rc<Engine>, frontend: &http::Frontend) -> Option<Rc<IdFiles>> {
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
     match IdFiles::start(engine, folder.into()) {
         Ok(files) => {
-            frontend.share_ids(files);
-            true
+            frontend.share_ids(files.clone());
+            Some(files)
         }
         Err(error) => {
             warn!(engine.log, "ids not shared with other processes"; "fault" => %error);
-            false
+            None
         }
     }
 }
--- a/crates/proxy/src/shared_ids.rs
+++ b/crates/proxy/src/shared_ids.rs
@@ -3,6 +3,7 @@
 //! reads the files of the others. A claim is written before the other files are read, so of two
 //! processes that claim an id at the same time at least one sees the other's claim.
 
+use crate::state_files::{is_running, name_in_files};
 use chalkwalk_engine::engine::Engine;
 use chalkwalk_engine::response::BoxFuture;
 use chalkwalk_http_frontend::{ClaimError, SharedClaim, SharedIds};
@@ -26,7 +27,7 @@
 /// Interval at which the files of other processes are looked for.
 const SCAN_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a process waits, before it accepts, until the others have found its file.
-pub const DISCOVERY_TIME: Duration = Duration::from_millis(250);
+const DISCOVERY_TIME: Duration = Duration::from_millis(250);
 /// Maximum time of a claim, in case the disk is slow. The request is then not accepted.
 const MAX_CLAIM_TIME: Duration = Duration::from_millis(100);
 /// How long the file of a process that has ended is read, since its last write.
@@ -47,9 +48,7 @@
     /// Creates this process's file and starts to look for those of other processes. Blocks on the
     /// disk.
     pub fn start(engine: &Rc<Engine>, folder: PathBuf) -> io::Result<Rc<IdFiles>> {
-        let sanitize = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
-        let proxy_name: String = engine.config.name.chars().map(sanitize).collect();
-        let name_prefix = format!("chalkwalk.{proxy_name}.");
+        let name_prefix = format!("chalkwalk.{}.", name_in_files(&engine.config.name));
         let own_path = folder.join(format!("{name_prefix}{}.{FILE_EXTENSION}", std::process::id()));
         let own_file = File::create(&own_path)?;
         own_file.set_len((SLOTS * ID_BYTES) as u64)?;
@@ -66,6 +65,13 @@
         Ok(files)
     }
 
+    /// Waits until the other processes have found this process's file, if there are any.
+    pub async fn wait_until_found(&self) {
+        if !self.peers.borrow().is_empty() {
+            Timer::after(DISCOVERY_TIME).await;
+        }
+    }
+
     async fn scan(self: Rc<IdFiles>) {
         loop {
             Timer::after(SCAN_INTERVAL).await;
@@ -126,8 +132,7 @@
     for path in entries.flatten().map(|entry| entry.path()) {
         let Some(pid) = peer_pid(&path, name_prefix).filter(|_| path != own_path) else { continue };
         let Ok(file) = File::open(&path) else { continue };
-        let is_running = Path::new("/proc").join(pid.to_string()).exists();
-        if !is_running && is_outdated(&file) {
+        if !is_running(pid) && is_outdated(&file) {
             _ = fs::remove_file(&path);
         } else {
             files.push(Arc::new(file));
--- a/crates/proxy/src/state_files.rs
+++ b/crates/proxy/src/state_files.rs
@@ -4,9 +4,9 @@
 mod reader;
 mod writer;
 
-use chalkwalk_handover::{HandoverRecord, LearnedServers};
+use chalkwalk_handover::{HandoverRecord, LearnedServers, ToldDrains};
 use chalkwalk_time::Timestamp;
-pub use reader::{PeerFile, PeerReader};
+pub use reader::{PeerFile, PeerReader, is_running};
 use slog::{Logger, warn};
 use std::collections::{BTreeMap, HashSet};
 use std::path::{Path, PathBuf};
@@ -15,10 +15,19 @@
 /// The extension of the files' names.
 const FILE_EXTENSION: &str = "handover";
 
+/// The extension of the files with the drains that a process was told.
+const DRAINS_EXTENSION: &str = "drains";
+
 /// The maximum number of unreadable files that are logged, once each: it bounds the set of their
 /// paths.
 const MAX_REPORTED_FILES: usize = 64;
 
+/// A proxy's name as it appears in the names of its files.
+pub fn name_in_files(proxy_name: &str) -> String {
+    let sanitize = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+    proxy_name.chars().map(sanitize).collect()
+}
+
 /// This process's record, and the location of the files of all processes.
 pub struct SharedState {
     /// The folder of the files. Without a folder nothing is written or read.
@@ -27,6 +36,8 @@
     /// `-` is replaced by `_`.
     proxy_name: String,
     pub own_record: HandoverRecord,
+    /// The drains that this process was told.
+    pub own_drains: ToldDrains,
     /// Unreadable files that have been logged.
     reported_files: HashSet<PathBuf>,
 }
@@ -54,13 +65,13 @@
 impl SharedState {
     /// Creates the state of a process that starts `now`, before any file is read or written.
     pub fn new(folder: Option<PathBuf>, proxy_name: &str, now: Timestamp) -> SharedState {
-        let sanitize = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
         let own_record =
             HandoverRecord { pid: std::process::id(), started_at: now, ..HandoverRecord::default() };
         SharedState {
             folder,
-            proxy_name: proxy_name.chars().map(sanitize).collect(),
+            proxy_name: name_in_files(proxy_name),
             own_record,
+            own_drains: ToldDrains::default(),
             reported_files: HashSet::new(),
         }
     }
@@ -75,7 +86,15 @@
         let Some(folder) = &self.folder else { return Ok(None) };
         let temporary_path = self.own_file(folder, "new");
         let own_path = self.own_file(folder, FILE_EXTENSION);
-        RecordWriter::new(temporary_path, own_path, &self.own_record).map(Some)
+        RecordWriter::new(temporary_path, own_path, self.own_record.encode()).map(Some)
+    }
+
+    /// Prepares a write of the drains that this process was told; `None` without a folder.
+    pub fn drains_writer(&self) -> Result<Option<RecordWriter>, WriteError> {
+        let Some(folder) = &self.folder else { return Ok(None) };
+        let temporary_path = self.own_file(folder, "drains-new");
+        let own_path = self.own_file(folder, DRAINS_EXTENSION);
+        RecordWriter::new(temporary_path, own_path, self.own_drains.encode()).map(Some)
     }
 
     /// Prepares a read of the other processes' records; `None` without a folder.
@@ -107,9 +126,10 @@
         }
         if peer.is_alive {
             update.has_live_peer = true;
-            update.drains.extend(record.drains.clone());
+            update.drains.extend(peer.drains.starts.clone());
             update.is_superseded |= self.own_record.is_succeeded_by(record);
         } else if self.own_record.ready_since.is_some() {
+            update.ended_files.push(peer.path.with_extension(DRAINS_EXTENSION));
             update.ended_files.push(peer.path.clone());
         }
     }
--- a/crates/proxy/src/state_files/reader.rs
+++ b/crates/proxy/src/state_files/reader.rs
@@ -1,8 +1,8 @@
 //! Reads the other processes' records. A read may block on the disk, so the caller runs it outside
 //! the proxy's main thread.
 
-use super::FILE_EXTENSION;
-use chalkwalk_handover::{DecodeError, HandoverRecord, MAX_FILE_BYTES};
+use super::{DRAINS_EXTENSION, FILE_EXTENSION};
+use chalkwalk_handover::{DecodeError, HandoverRecord, MAX_FILE_BYTES, ToldDrains};
 use std::fs;
 use std::io::{self, Read};
 use std::path::{Path, PathBuf};
@@ -20,6 +20,8 @@
 pub struct PeerFile {
     pub path: PathBuf,
     pub record: Result<HandoverRecord, ReadError>,
+    /// The drains that the process was told; empty if it has written none, or they can't be read.
+    pub drains: ToldDrains,
     /// Whether the process that wrote the file is alive; `false` if the record can't be read.
     pub is_alive: bool,
 }
@@ -56,16 +58,27 @@
     fn read(path: PathBuf) -> PeerFile {
         let record = read_record(&path);
         let is_alive = record.as_ref().is_ok_and(|record| is_running(record.pid));
-        PeerFile { path, record, is_alive }
+        let drains = read_drains(&path.with_extension(DRAINS_EXTENSION));
+        PeerFile { path, record, drains, is_alive }
     }
 }
 
-fn is_running(pid: u32) -> bool {
+/// Whether a process with this id is running.
+pub fn is_running(pid: u32) -> bool {
     Path::new("/proc").join(pid.to_string()).exists()
 }
 
 fn read_record(path: &Path) -> Result<HandoverRecord, ReadError> {
+    Ok(HandoverRecord::decode(&read_text(path)?)?)
+}
+
+fn read_drains(path: &Path) -> ToldDrains {
+    let text = read_text(path).ok();
+    text.and_then(|text| ToldDrains::decode(&text).ok()).unwrap_or_default()
+}
+
+fn read_text(path: &Path) -> io::Result<String> {
     let mut text = String::new();
     fs::File::open(path)?.take(MAX_FILE_BYTES as u64).read_to_string(&mut text)?;
-    Ok(HandoverRecord::decode(&text)?)
+    Ok(text)
 }
--- a/crates/proxy/src/state_files/writer.rs
+++ b/crates/proxy/src/state_files/writer.rs
@@ -1,7 +1,7 @@
 //! Writes this process's record. A write may block on the disk for seconds, so the caller runs it
 //! outside the proxy's main thread.
 
-use chalkwalk_handover::{HandoverRecord, MAX_FILE_BYTES};
+use chalkwalk_handover::MAX_FILE_BYTES;
 use std::fs;
 use std::io;
 use std::path::PathBuf;
@@ -9,7 +9,7 @@
 /// Why this process's record can't be written.
 #[derive(Debug, thiserror::Error)]
 pub enum WriteError {
-    #[error("the handover record exceeds the maximum file length: too many servers are disabled")]
+    #[error("the handover file exceeds its maximum length: too many servers are disabled or draining")]
     TooLong,
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -26,9 +26,8 @@
     pub(super) fn new(
         temporary_path: PathBuf,
         path: PathBuf,
-        record: &HandoverRecord,
+        text: String,
     ) -> Result<RecordWriter, WriteError> {
-        let text = record.encode();
         if text.len() > MAX_FILE_BYTES {
             return Err(WriteError::TooLong);
         }
--- a/crates/resp-frontend/src/connection.rs
+++ b/crates/resp-frontend/src/connection.rs
@@ -98,13 +98,8 @@
         // The accepted commands are still answered: `write_replies` ends the connection.
         std::future::pending().await
     };
-    let on_written = || presence.record_write();
-    let write_replies = write_replies(stream, queued_replies, &unread, connection, on_written);
-    let client_reset = async {
-        presence.wait_until_reset().await;
-        ConnectionEnd::Broken
-    };
-    if write_replies.or(client_reset).or(receive_commands).await == ConnectionEnd::LastReplyWritten {
+    let write_replies = write_replies(stream, queued_replies, &unread, connection, &presence);
+    if write_replies.or(receive_commands).await == ConnectionEnd::LastReplyWritten {
         close_after_peer(stream, LINGER_LIMITS).await;
     }
 }
--- a/crates/resp-frontend/src/connection/client_presence.rs
+++ b/crates/resp-frontend/src/connection/client_presence.rs
@@ -63,7 +63,8 @@
         }
     }
 
-    /// Returns once the client has reset the connection.
+    /// Returns once the client has reset the connection. It is checked for while a reply is awaited;
+    /// an idle connection is read, which shows the reset.
     pub async fn wait_until_reset(&self) {
         while self.check(false) != Sign::Gone {
             Timer::after(CHECK_INTERVAL).await;
--- a/crates/resp-frontend/src/connection/command_reader.rs
+++ b/crates/resp-frontend/src/connection/command_reader.rs
@@ -50,8 +50,8 @@
     /// The memory for the incomplete command at the end of the buffer.
     reservation: MessageReservation,
     memory: MessageMemory,
-    /// When the first bytes of the incomplete command were read, and the time since then during
-    /// which the client was not waited for.
+    /// When the first bytes of the incomplete command were read, put off by the time that the command
+    /// has waited for memory.
     command_started: Option<Instant>,
     /// How long the whole command has waited for memory; zero while its client still sends it.
     waited_for_memory: Duration,
--- a/crates/resp-frontend/src/connection/reply_writer.rs
+++ b/crates/resp-frontend/src/connection/reply_writer.rs
@@ -1,5 +1,6 @@
 //! Writes replies in order, and batches those that are ready.
 
+use super::ClientPresence;
 use super::backpressure::{HeldBytes, MAX_UNREAD_BYTES, QueuedReply, UnreadBytes};
 use super::encoded_reply::{EncodedReply, ReplyRest};
 use chalkwalk_engine::budget::Permit;
@@ -7,6 +8,7 @@
 use chalkwalk_sockets::{PacedWriter, WriteError};
 use smol::Async;
 use smol::channel::Receiver;
+use smol::future::FutureExt;
 use std::io::ErrorKind;
 use std::net::TcpStream;
 use std::time::Duration;
@@ -76,14 +78,13 @@
     }
 }
 
-/// Writes replies until the last one, or until the client no longer reads them. Calls `on_written`
-/// after each batch.
+/// Writes replies until the last one, or until the client has gone or no longer reads them.
 pub async fn write_replies(
     stream: &Async<TcpStream>,
     queued_replies: Receiver<QueuedReply>,
     unread: &UnreadBytes,
     connection: &ClientConnection,
-    on_written: impl Fn(),
+    presence: &ClientPresence,
 ) -> ConnectionEnd {
     let mut writer = PacedWriter::new(stream, WRITE_ALLOWANCE);
     let mut not_ready: Option<QueuedReply> = None;
@@ -96,7 +97,17 @@
             },
         };
         let mut batch = Batch::default();
-        batch.add(first, unread).await;
+        let first_resolved = async {
+            batch.add(first, unread).await;
+            true
+        };
+        let client_reset = async {
+            presence.wait_until_reset().await;
+            false
+        };
+        if !first_resolved.or(client_reset).await {
+            return ConnectionEnd::Broken;
+        }
         while !batch.is_full()
             && let Ok(next) = queued_replies.try_recv()
         {
@@ -121,6 +132,6 @@
         if batch.is_last() {
             return ConnectionEnd::LastReplyWritten;
         }
-        on_written();
+        presence.record_write();
     }
 }
--- a/crates/sockets/src/message_memory.rs
+++ b/crates/sockets/src/message_memory.rs
@@ -4,7 +4,6 @@
 //! short ones out. A short message may use the share of the long ones as well.
 
 use crate::memory::{MemoryBudget, MemoryReservation};
-use crate::wait::with_timeout;
 use smol::Timer;
 use std::time::Duration;
 
@@ -18,7 +17,7 @@
 const SHORT_SHARE_DIVISOR: usize = 6;
 /// Interval at which a message that waits for memory tries to reserve it again. It is short compared
 /// to the time that a long message takes to arrive.
-const RETRY_INTERVAL: Duration = Duration::from_millis(5);
+const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The memory for the messages of all peers. Clones share it.
 #[derive(Clone)]
@@ -57,13 +56,6 @@
         reservation.try_grow_to(bytes).then_some(reservation)
     }
 
-    /// Reserves memory for a message of this length, and waits up to `timeout` until other messages
-    /// have released enough.
-    pub async fn reserve(&self, bytes: usize, timeout: Duration) -> Option<MessageReservation> {
-        let mut reservation = self.empty_reservation();
-        with_timeout(timeout, reservation.grow_to(bytes)).await.map(|()| reservation)
-    }
-
     fn share_for(&self, bytes: usize) -> Share {
         if bytes > MAX_SHORT_MESSAGE_BYTES { Share::Long } else { Share::Short }
     }
