Stored-data test: replace the process id with its name, not its digits anywhere

Cause, by the numbers: the test replaces the digits of its process's id by the fixture's 4028 in the whole text. The program had written what it should.

Change: the field "pid":N, is replaced. The comparison with the fixture is as strict as it was.

--- a/crates/proxy/tests/stored_data.rs
+++ b/crates/proxy/tests/stored_data.rs
@@ -622,8 +622,10 @@
     let (found_head, found) = found.trim_end().split_at(found.find('{').unwrap());
     assert_eq!(found_head, format!("{}{} ", &head[..head.len() - 9], crc32_hex(found)));
     let learned_at = number_after(&found[found.find("\"learned\"").unwrap()..], "\"at\":");
+    // With its name: the digits of a process id may occur in the times, too.
+    let own_pid = format!("\"pid\":{},", number_after(found, "\"pid\":"));
     let found = found
-        .replace(number_after(found, "\"pid\":"), old[0])
+        .replace(&own_pid, &format!("\"pid\":{},", old[0]))
         .replace(number_after(found, "\"began\":"), number_after(body, "\"began\":"))
         .replace(&new[1], old[1])
         .replace(learned_at, old[2]);
